--- /dev/null
+++ b/cmake/MarigoldTargets.cmake
@@ -0,0 +1,53 @@
+include(doctest)
+
+# Options that every target of the tree shares. Warnings are errors.
+add_library(marigoldOptions INTERFACE)
+# g++ 12 reports -Wrestrict falsely for std::string (GCC bug 105651).
+target_compile_options(marigoldOptions INTERFACE
+  -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wno-restrict -Werror)
+target_include_directories(marigoldOptions INTERFACE
+  ${PROJECT_SOURCE_DIR}/src)
+# Every translation unit must see the same easylogging++ macros: the library
+# is header plus one source file and crashes when they differ. Hosts have no
+# disks, so the default log file is off.
+target_compile_definitions(marigoldOptions INTERFACE
+  ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE ELPP_DISABLE_DEFAULT_CRASH_HANDLING
+  MARIGOLD_VERSION="${PROJECT_VERSION}")
+target_link_libraries(marigoldOptions INTERFACE Threads::Threads)
+if(MARIGOLD_SANITIZE)
+  target_compile_options(marigoldOptions INTERFACE
+    -fsanitize=${MARIGOLD_SANITIZE} -fno-omit-frame-pointer -g)
+  target_link_options(marigoldOptions INTERFACE
+    -fsanitize=${MARIGOLD_SANITIZE})
+endif()
+
+# marigold_library(<Module> SOURCES ... DEPENDS ...) defines the library
+# marigold<Module> of one subsystem folder.
+function(marigold_library Name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(marigold${Name} STATIC ${ARG_SOURCES})
+  target_link_libraries(marigold${Name} PUBLIC marigoldOptions ${ARG_DEPENDS})
+endfunction()
+
+# marigold_program(<name> SOURCES ... DEPENDS ...) defines one binary.
+function(marigold_program Name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${Name} ${ARG_SOURCES})
+  target_link_libraries(${Name} PRIVATE marigoldOptions ${ARG_DEPENDS})
+  set_target_properties(${Name} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+endfunction()
+
+# marigold_unittest(<Module> SOURCES ... DEPENDS ...) defines the test binary
+# of one subsystem and registers each of its cases with CTest.
+function(marigold_unittest Name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${Name}Tests ${PROJECT_SOURCE_DIR}/unittests/TestMain.cpp
+    ${ARG_SOURCES})
+  target_link_libraries(${Name}Tests PRIVATE marigoldOptions
+    doctest::doctest ${ARG_DEPENDS})
+  target_compile_definitions(${Name}Tests PRIVATE
+    MARIGOLD_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+  doctest_discover_tests(${Name}Tests TEST_PREFIX "${Name}: "
+    PROPERTIES TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/src/Support/Metrics.cpp
@@ -0,0 +1,136 @@
+#include "Support/Metrics.h"
+
+#include <sstream>
+
+namespace marigold {
+namespace {
+
+namespace acc = boost::accumulators;
+
+std::string escapeLabel(const std::string &Value) {
+  std::string Escaped;
+  for (char Character : Value) {
+    if (Character == '\n') {
+      Escaped += "\\n";
+      continue;
+    }
+    if (Character == '"' || Character == '\\')
+      Escaped += '\\';
+    Escaped += Character;
+  }
+  return Escaped;
+}
+
+/// Writes {name="value",...} or nothing. Extra is a ready pair or empty.
+std::string labelText(const MetricInfo &Info, const MetricLabels &Labels,
+                      const std::string &Extra = {}) {
+  std::string Text;
+  for (std::size_t Index = 0; Index < MaxMetricLabels; ++Index) {
+    if (Info.Labels_[Index].empty())
+      continue;
+    Text += Text.empty() ? "" : ",";
+    Text += std::string(Info.Labels_[Index]) + "=\"" +
+            escapeLabel(Labels[Index]) + "\"";
+  }
+  if (!Extra.empty())
+    Text += (Text.empty() ? "" : ",") + Extra;
+  return Text.empty() ? Text : "{" + Text + "}";
+}
+
+std::string_view kindText(MetricKind Kind) {
+  switch (Kind) {
+  case MetricKind::Counter:
+    return "counter";
+  case MetricKind::Gauge:
+    return "gauge";
+  case MetricKind::Summary:
+    break;
+  }
+  return "summary";
+}
+
+} // namespace
+
+MetricsRegistry::MetricsRegistry() {
+  for (auto &Slot : Families_)
+    Slot = std::make_unique<Family>();
+}
+
+MetricsRegistry::Family &MetricsRegistry::family(Metric Which) {
+  return *Families_[static_cast<std::size_t>(Which)];
+}
+
+std::atomic<std::int64_t> &MetricsRegistry::value(Metric Which,
+                                                  std::string_view First,
+                                                  std::string_view Second) {
+  Family &Owner = family(Which);
+  MetricLabels Labels{std::string(First), std::string(Second)};
+  std::lock_guard Lock(Owner.Mutex_);
+  return Owner.Values_.try_emplace(std::move(Labels), 0).first->second;
+}
+
+void MetricsRegistry::add(Metric Which, std::int64_t Amount,
+                          std::string_view First, std::string_view Second) {
+  value(Which, First, Second).fetch_add(Amount, std::memory_order_relaxed);
+}
+
+void MetricsRegistry::set(Metric Which, std::int64_t Amount,
+                          std::string_view First, std::string_view Second) {
+  value(Which, First, Second).store(Amount, std::memory_order_relaxed);
+}
+
+void MetricsRegistry::observe(Metric Which, Duration Sample,
+                              std::string_view First) {
+  Family &Owner = family(Which);
+  MetricLabels Labels{std::string(First), std::string()};
+  std::lock_guard Lock(Owner.Mutex_);
+  auto Position = Owner.Summaries_.find(Labels);
+  if (Position == Owner.Summaries_.end())
+    Position = Owner.Summaries_
+                   .emplace(std::move(Labels),
+                            Summary(acc::tag::extended_p_square::probabilities =
+                                        SummaryQuantiles))
+                   .first;
+  Position->second(std::chrono::duration<double>(Sample).count());
+}
+
+std::int64_t MetricsRegistry::total(Metric Which) const {
+  const Family &Owner = *Families_[static_cast<std::size_t>(Which)];
+  std::lock_guard Lock(Owner.Mutex_);
+  std::int64_t Sum = 0;
+  for (const auto &[Labels, Value] : Owner.Values_)
+    Sum += Value.load(std::memory_order_relaxed);
+  return Sum;
+}
+
+std::string MetricsRegistry::render() const {
+  std::ostringstream Out;
+  for (std::size_t Index = 0; Index < MetricCount; ++Index) {
+    const MetricInfo &Info = metricInfo(static_cast<Metric>(Index));
+    const Family &Owner = *Families_[Index];
+    std::lock_guard Lock(Owner.Mutex_);
+    if (Owner.Values_.empty() && Owner.Summaries_.empty())
+      continue;
+    std::string Name = "marigold_" + std::string(Info.Name_);
+    Out << "# HELP " << Name << ' ' << Info.Help_ << "\n# TYPE " << Name << ' '
+        << kindText(Info.Kind_) << '\n';
+    for (const auto &[Labels, Value] : Owner.Values_)
+      Out << Name << labelText(Info, Labels) << ' ' << Value.load() << '\n';
+    for (const auto &[Labels, Values] : Owner.Summaries_) {
+      auto Quantiles = acc::extended_p_square(Values);
+      for (std::size_t Q = 0; Q < SummaryQuantiles.size(); ++Q) {
+        std::ostringstream Quantile;
+        Quantile << "quantile=\"" << SummaryQuantiles[Q] << '"';
+        Out << Name << labelText(Info, Labels, Quantile.str()) << ' '
+            << Quantiles[static_cast<std::ptrdiff_t>(Q)] << '\n';
+      }
+      Out << Name << "_sum" << labelText(Info, Labels) << ' '
+          << acc::sum(Values) << '\n'
+          << Name << "_count" << labelText(Info, Labels) << ' '
+          << acc::count(Values) << '\n';
+    }
+  }
+  return Out.str();
+}
+
+} // namespace marigold
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Checks format, generated code and clang-tidy. With --fix, formats instead.
+# With --changed, clang-tidy reads only the files that differ from HEAD.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+cd "$root"
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard \
+  '*.cpp' '*.h')
+if [ "${1:-}" = --fix ]; then
+  clang-format -i "${sources[@]}"
+  exit 0
+fi
+clang-format --dry-run -Werror "${sources[@]}"
+/usr/bin/python3 tools/generate.py --check
+[ -f build/compile_commands.json ] || {
+  echo "lint: run tools/build.sh first, clang-tidy needs its compile commands"
+  exit 1
+}
+if [ "${1:-}" = --changed ]; then
+  mapfile -t units < <({ git diff --name-only HEAD -- '*.cpp'
+    git ls-files --others --exclude-standard '*.cpp'; } | sort -u)
+else
+  mapfile -t units < <(git ls-files '*.cpp')
+fi
+[ ${#units[@]} -eq 0 ] && exit 0
+printf '%s\n' "${units[@]}" |
+  xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet \
+  --extra-arg=-Wno-unknown-warning-option 2>/dev/null
--- /dev/null
+++ b/unittests/Support/ArchiveTest.cpp
@@ -0,0 +1,75 @@
+#include "Support/Archive.h"
+#include "Support/Random.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold {
+namespace {
+
+struct ArchiveFixture {
+  HostRecord Record_{{0x7f000001, 7400},
+                     1'700'000'000'000,
+                     7,
+                     HostState::Ready,
+                     "crew-desk",
+                     "quito",
+                     "andes",
+                     7480,
+                     7490};
+  Ping Ping_{5,
+             Record_,
+             {0x7f000002, 7400},
+             9,
+             HostState::Suspect,
+             {{1, 300}, 77, std::chrono::milliseconds(1500), 3, {}},
+             {Record_}};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(ArchiveFixture, "archive of a ping returns the same ping") {
+  auto Decoded = decodeBody<Ping>(encodeBody(Ping_));
+  REQUIRE(Decoded);
+  CHECK(Decoded.value() == Ping_);
+}
+
+// Guards against reads past the end: every proper prefix lacks bytes.
+TEST_CASE_FIXTURE(ArchiveFixture, "archive of a cut message is refused") {
+  std::string Body = encodeBody(Ping_);
+  for (std::size_t Size = 0; Size < Body.size(); ++Size)
+    CHECK_FALSE(decodeBody<Ping>(std::string_view(Body).substr(0, Size)));
+}
+
+TEST_CASE_FIXTURE(ArchiveFixture, "archive with bytes left over is refused") {
+  CHECK_FALSE(decodeBody<Ping>(encodeBody(Ping_) + '\0'));
+}
+
+// Guards against unbounded allocation on a corrupt size.
+TEST_CASE("archive with a huge size is refused") {
+  std::string Body;
+  WireOutput Ar(Body);
+  Ar.saveVarint(std::uint64_t(1) << 60);
+  CHECK_FALSE(decodeBody<std::string>(Body));
+  CHECK_FALSE(decodeBody<std::vector<HostRecord>>(Body));
+}
+
+TEST_CASE("archive of an enumeration out of range is refused") {
+  HostRecord Record;
+  Record.State_ = static_cast<HostState>(HostStateCount);
+  CHECK_FALSE(decodeBody<HostRecord>(encodeBody(Record)));
+}
+
+TEST_CASE("archive of integers returns the same integers at the limits") {
+  for (std::int64_t Value : {std::int64_t(0), std::int64_t(-1), std::int64_t(1),
+                             std::numeric_limits<std::int64_t>::min(),
+                             std::numeric_limits<std::int64_t>::max()}) {
+    auto Decoded = decodeBody<std::int64_t>(encodeBody(Value));
+    REQUIRE(Decoded);
+    CHECK(Decoded.value() == Value);
+  }
+  auto Largest = std::numeric_limits<std::uint64_t>::max();
+  CHECK(decodeBody<std::uint64_t>(encodeBody(Largest)).value() == Largest);
+  CHECK_FALSE(decodeBody<std::uint16_t>(encodeBody(Largest)));
+}
+
+} // namespace marigold
