--- /dev/null
+++ b/src/Burn/BurnRender.cpp
@@ -0,0 +1,161 @@
+#include "Burn/BurnRender.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <iomanip>
+#include <sstream>
+
+namespace marigold::burn {
+namespace {
+
+/// Longest bar of the page in pixels, and the burn rate that it stands for.
+constexpr double BarWidth = 240;
+constexpr double BarFullRate = 20;
+/// Causes that the table names for one service.
+constexpr std::size_t MostSources = 3;
+
+std::string number(const std::optional<double> &Value, int Digits) {
+  if (!Value)
+    return "no data";
+  if (std::isinf(*Value))
+    return "over";
+  std::ostringstream Out;
+  Out << std::fixed << std::setprecision(Digits) << *Value;
+  return Out.str();
+}
+
+std::optional<double> highest(const WindowBurn &Burn) {
+  if (!Burn.AvailabilityRate_)
+    return std::nullopt;
+  return std::max(*Burn.AvailabilityRate_, Burn.LatencyRate_.value_or(0));
+}
+
+std::string percent(const std::optional<double> &Fraction) {
+  if (!Fraction)
+    return "no data";
+  return number(*Fraction * 100, 1) + "%";
+}
+
+std::string sourcesText(const ServiceBurn &Service) {
+  std::string Text;
+  for (std::size_t Index = 0;
+       Index < std::min(MostSources, Service.Sources_.size()); ++Index) {
+    const BurnSource &Source = Service.Sources_[Index];
+    Text += (Text.empty() ? "" : ", ") + Source.FailureDomain_ + "/" +
+            Source.Outcome_ + "=" + number(Source.Calls_, 0);
+  }
+  return Text.empty() ? "-" : Text;
+}
+
+nlohmann::json numberJson(const std::optional<double> &Value) {
+  if (!Value)
+    return nullptr;
+  if (std::isinf(*Value))
+    return "inf";
+  return *Value;
+}
+
+nlohmann::json windowJson(const WindowBurn &Burn) {
+  return {{"covered_s", std::chrono::duration<double>(Burn.Covered_).count()},
+          {"calls", Burn.Counts_.Calls_},
+          {"failed", Burn.Counts_.Failed_},
+          {"slow", Burn.Counts_.Slow_},
+          {"availability_burn", numberJson(Burn.AvailabilityRate_)},
+          {"latency_burn", numberJson(Burn.LatencyRate_)}};
+}
+
+/// A bar whose length is the burn rate; grey when there is no data, so that
+/// missing data never looks good.
+std::string barHtml(const std::optional<double> &Rate) {
+  std::ostringstream Out;
+  if (!Rate) {
+    Out << "<svg width='" << BarWidth << "' height='12'><rect width='"
+        << BarWidth << "' height='12' fill='#bbb'/></svg>";
+    return Out.str();
+  }
+  double Width = std::min(BarWidth, *Rate / BarFullRate * BarWidth);
+  Out << "<svg width='" << BarWidth << "' height='12'><rect width='" << Width
+      << "' height='12' fill='" << (*Rate > 1 ? "#c33" : "#393") << "'/></svg>";
+  return Out.str();
+}
+
+bool exceeds(const WindowBurn &Burn, double Limit) {
+  auto Rate = highest(Burn);
+  return Rate && *Rate > Limit;
+}
+
+} // namespace
+
+BurnVerdict judge(const BurnReport &Report, double Limit) {
+  bool DataMissing = !Report.MissingNodes_.empty();
+  for (const ServiceBurn &Service : Report.Services_) {
+    if (exceeds(Service.Fast_, Limit) && exceeds(Service.Slow_, Limit))
+      return BurnVerdict::Burning;
+    if (Service.State_ != DataState::Complete)
+      DataMissing = true;
+  }
+  return DataMissing ? BurnVerdict::NoData : BurnVerdict::Good;
+}
+
+std::string renderTable(const BurnReport &Report) {
+  std::ostringstream Out;
+  Out << std::left << std::setw(24) << "service" << std::setw(10) << "data"
+      << std::setw(12) << "fast burn" << std::setw(12) << "slow burn"
+      << std::setw(14) << "budget left"
+      << "causes\n";
+  for (const ServiceBurn &Service : Report.Services_)
+    Out << std::setw(24) << Service.Service_ << std::setw(10)
+        << toText(Service.State_) << std::setw(12)
+        << number(highest(Service.Fast_), 2) << std::setw(12)
+        << number(highest(Service.Slow_), 2) << std::setw(14)
+        << percent(Service.BudgetLeft_) << sourcesText(Service) << '\n';
+  for (const std::string &Node : Report.MissingNodes_)
+    Out << "no answer from node " << Node << '\n';
+  return Out.str();
+}
+
+std::string renderJson(const BurnReport &Report) {
+  nlohmann::json Root;
+  Root["missing_nodes"] = Report.MissingNodes_;
+  Root["services"] = nlohmann::json::array();
+  for (const ServiceBurn &Service : Report.Services_) {
+    nlohmann::json Sources = nlohmann::json::array();
+    for (const BurnSource &Source : Service.Sources_)
+      Sources.push_back({{"failure_domain", Source.FailureDomain_},
+                         {"outcome", Source.Outcome_},
+                         {"calls", Source.Calls_}});
+    Root["services"].push_back(
+        {{"service", Service.Service_},
+         {"data", toText(Service.State_)},
+         {"fast", windowJson(Service.Fast_)},
+         {"slow", windowJson(Service.Slow_)},
+         {"budget_left", numberJson(Service.BudgetLeft_)},
+         {"sources", Sources}});
+  }
+  return Root.dump(2) + "\n";
+}
+
+std::string renderHtml(const BurnReport &Report) {
+  std::ostringstream Out;
+  Out << "<!doctype html><meta charset='utf-8'><title>Service-level "
+         "burn</title><style>body{font-family:sans-serif}td,th{padding:4px "
+         "12px;text-align:left}</style><h1>Service-level "
+         "burn</h1><table><tr><th>service<th>data<th>fast burn<th><th>slow "
+         "burn<th><th>budget left<th>causes</tr>\n";
+  for (const ServiceBurn &Service : Report.Services_)
+    Out << "<tr><td>" << Service.Service_ << "<td>" << toText(Service.State_)
+        << "<td>" << number(highest(Service.Fast_), 2) << "<td>"
+        << barHtml(highest(Service.Fast_)) << "<td>"
+        << number(highest(Service.Slow_), 2) << "<td>"
+        << barHtml(highest(Service.Slow_)) << "<td>"
+        << percent(Service.BudgetLeft_) << "<td>" << sourcesText(Service)
+        << "</tr>\n";
+  Out << "</table>\n";
+  for (const std::string &Node : Report.MissingNodes_)
+    Out << "<p>No answer from node " << Node << ".</p>\n";
+  return Out.str();
+}
+
+} // namespace marigold::burn
