--- /dev/null
+++ b/src/Config/Limits.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace marigold::config {
+
+/// Largest text, the limit of a value at the configuration source.
+inline constexpr std::size_t MaxTextBytes = 1024 * 1024;
+/// Deepest nesting of mappings and lists; a valid text needs six levels.
+inline constexpr unsigned MaxNesting = 16;
+/// Most YAML nodes of one text. A valid text of 1 MiB has about 160,000; the
+/// limit bounds the memory that a hostile text can claim.
+inline constexpr std::size_t MaxTextNodes = 250'000;
+/// Most errors that are reported for one text.
+inline constexpr std::size_t MaxDiagnostics = 1000;
+/// Most services of one text; 180 are planned.
+inline constexpr std::size_t MaxServices = 512;
+/// Most dependencies of one service.
+inline constexpr std::size_t MaxDependencies = 64;
+/// Most routes of one service.
+inline constexpr std::size_t MaxRoutes = 64;
+/// Most services in one chain of dependencies, the planned depth of calls.
+inline constexpr std::size_t MaxChain = 12;
+/// Longest name of a service or mesh, as for a host name's label.
+inline constexpr std::size_t MaxNameLength = 63;
+/// Longest path of a route.
+inline constexpr std::size_t MaxPathLength = 256;
+
+/// Lowest and highest allowed epoch; 0 stands for "no version".
+inline constexpr std::uint32_t MinEpoch = 1;
+
+/// Allowed durations, for operators' typing errors rather than for safety.
+inline constexpr std::chrono::milliseconds MinDeadline{1};
+inline constexpr std::chrono::milliseconds MaxDeadline{600'000};
+inline constexpr std::chrono::milliseconds MaxSlowStart{600'000};
+inline constexpr std::chrono::microseconds MinLatency{100};
+inline constexpr std::chrono::microseconds MaxLatency{60'000'000};
+
+/// Allowed objectives. An objective of 100 % leaves no error budget, for which
+/// no burn rate is defined.
+inline constexpr double MinObjective = 0.01;
+inline constexpr double MaxObjective = 0.999999;
+
+/// Largest limit of a request body in bytes.
+inline constexpr std::uint64_t MaxBodyLimit = 16 * 1024 * 1024;
+
+} // namespace marigold::config
--- /dev/null
+++ b/src/Config/Validator.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Config/ServiceModel.h"
+#include "Schema/generated/Errors.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marigold::config {
+
+/// Part of a model that an error concerns. The parser turns it into a line
+/// and a column.
+struct ModelPlace {
+  /// Index of the service; none for the model as a whole.
+  std::optional<std::size_t> Service_;
+  /// Index of the route within the service.
+  std::optional<std::size_t> Route_;
+  /// Key in the text; empty for the service or route itself.
+  std::string Key_;
+  /// Index of the entry when the key's value is a list.
+  std::optional<std::size_t> Entry_;
+
+  friend auto operator<=>(const ModelPlace &, const ModelPlace &) = default;
+};
+
+/// An error of a model.
+struct ModelError {
+  /// Where.
+  ModelPlace Place_;
+  /// Kind.
+  ErrorCode Code_;
+  /// What is wrong.
+  std::string Message_;
+  /// What to write instead.
+  std::string Fix_;
+};
+
+/// Every error of a model: names, ranges, references, cycles, duplicates,
+/// numbers of entries. The order of services, routes and lists is not checked.
+std::vector<ModelError> validateModel(const ServiceModel &Model);
+
+/// Description of the first place that is not in the order of normalize, or
+/// nothing.
+std::optional<std::string> findDisorder(const ServiceModel &Model);
+
+/// True when Name has 1 to 63 characters of a-z, 0-9 and hyphen and neither
+/// begins nor ends with a hyphen.
+bool isValidName(std::string_view Name);
+
+} // namespace marigold::config
