Declare the interfaces of membership and distribution

Other modules build against these headers, so they come before the code. Probes gain the sequence known for the subject (an outdated suspicion is then not refuted again), answers a flag for a relay that got no answer (separates a silent subject from a silent network), and updates the host that raised a suspicion, without which confirmations cannot be counted.

--- /dev/null
+++ b/src/Distribution/SourceReader.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "Distribution/SourceConfirmation.h"
+#include "Distribution/VersionStore.h"
+#include "Membership/HostTable.h"
+#include "Support/Backoff.h"
+#include "Support/Random.h"
+
+#include <variant>
+#include <vector>
+
+namespace marigold::distribution {
+
+/// Who reads the source.
+enum class SourceMode : std::uint8_t {
+  /// Some nodes of each failure domain; the others get versions from peers.
+  Peers,
+  /// Each node, the baseline of measurements.
+  EveryNode
+};
+
+/// Start a blocking read of the key names (?keys). The answer goes to onKeys
+/// or onFailure.
+struct WatchKeys {
+  /// Index to wait beyond; 0 answers at once.
+  std::uint64_t Index_ = 0;
+  /// Longest wait at the source.
+  std::chrono::milliseconds Wait_{};
+};
+
+/// Fetch the text. Offer it to the store, then call onText; or onFailure.
+struct FetchText {};
+
+/// Read the host list of this node's failure domain. The answer goes to
+/// HostListMerger; then call onHosts, or onFailure.
+struct ReadHosts {};
+
+/// What the caller has to do.
+using SourceAction = std::variant<WatchKeys, FetchText, ReadHosts>;
+
+/// List of actions.
+using SourceActions = std::vector<SourceAction>;
+
+/// Kind of call to the source.
+enum class SourceCall : std::uint8_t { Keys, Text, Hosts };
+
+/// Times and limits of source reads.
+struct SourceReaderOptions {
+  /// Setting source-mode.
+  SourceMode Mode_ = SourceMode::Peers;
+  /// Setting source-readers.
+  std::size_t Readers_ = 2;
+  /// Setting source-wait. In mode Peers a wait is at most ConfirmWait_, since
+  /// only a completed read confirms the source to the others.
+  std::chrono::milliseconds Wait_ = std::chrono::seconds(30);
+  /// Longest wait in mode Peers; below StaleAfter_ with room for the spread of
+  /// the age by probes.
+  std::chrono::milliseconds ConfirmWait_ = std::chrono::seconds(6);
+  /// Setting hosts-interval.
+  Duration HostsInterval_ = std::chrono::seconds(30);
+  /// Setting restart-spread: time after the start before the role of a reader
+  /// is taken up, spread evenly over the second half of this window. A node
+  /// that has just started knows few hosts and would take itself for a reader.
+  Duration RestartSpread_ = std::chrono::seconds(10);
+  /// Time between the fetches of two readers.
+  Duration FetchStep_ = std::chrono::milliseconds(150);
+  /// Age of the last source confirmation from which on any node may read.
+  std::chrono::milliseconds StaleAfter_ = std::chrono::seconds(10);
+  /// Time in which the expected number of such reads in the fleet doubles.
+  Duration TakeoverDoubling_ = std::chrono::seconds(5);
+  /// Highest expected number of such reads per second in the whole fleet;
+  /// bounds the load of a source that comes back after an outage.
+  double TakeoverLimit_ = 50;
+  /// First and highest ceiling of the delay after a failed call.
+  Duration FirstBackoff_ = std::chrono::milliseconds(500);
+  Duration MaxBackoff_ = std::chrono::seconds(30);
+};
+
+/// Decides when this node reads the source. Holds no socket: the caller makes
+/// the calls and reports their results. Not safe for use by several threads
+/// at once.
+class SourceReader {
+public:
+  /// Table, Store and Confirmation must outlive it. Own is entered in Table.
+  SourceReader(const membership::HostTable &Table, const VersionStore &Store,
+               SourceConfirmation &Confirmation, const HostId &Own,
+               std::string FailureDomain, SourceReaderOptions Options,
+               Random Rng, TimePoint Now);
+
+  /// Calls that are due. To be called about every 50 ms once the node has
+  /// completed its bootstrap.
+  SourceActions tick(TimePoint Now);
+
+  /// The watch was answered, at its end or because the index changed. Index is
+  /// X-Consul-Index.
+  void onKeys(std::uint64_t Index, TimePoint Now);
+
+  /// The text was fetched with this index and offered or refused.
+  void onText(std::uint64_t Index, TimePoint Now);
+
+  /// The host list was read.
+  void onHosts(TimePoint Now);
+
+  /// A call failed; the next one waits.
+  void onFailure(SourceCall Call, TimePoint Now);
+
+  /// Whether this node has the role of a reader now.
+  bool isReader(TimePoint Now) const;
+
+  /// Times that the index of the source fell below one seen before.
+  std::uint64_t indexFalls() const { return IndexFalls_; }
+
+  /// Reads taken over because no confirmation was young enough.
+  std::uint64_t takeovers() const { return Takeovers_; }
+
+private:
+  bool isHandled(std::uint64_t Index) const;
+  bool takesOver(TimePoint Now);
+  void planFetch(TimePoint Now);
+  void planWatch(bool Reader, TimePoint Now, SourceActions &Out);
+
+  const membership::HostTable &Table_;
+  const VersionStore &Store_;
+  SourceConfirmation &Confirmation_;
+  HostId Own_;
+  std::string FailureDomain_;
+  SourceReaderOptions Options_;
+  Random Rng_;
+  Backoff Backoff_;
+
+  TimePoint RoleFrom_;
+  TimePoint NotBefore_;
+  TimePoint NextHosts_;
+  TimePoint NextTakeoverDraw_;
+  bool WatchRunning_ = false;
+  bool FetchRunning_ = false;
+  bool HostsRunning_ = false;
+  std::optional<TimePoint> FetchAt_;
+  // Index of the latest answer, and the latest one whose text was handled.
+  std::uint64_t SeenIndex_ = 0;
+  std::uint64_t HandledIndex_ = 0;
+  // Whether the index fell since the last handled text: then only the text
+  // can tell, by its epoch, whether it is newer.
+  bool Fell_ = false;
+  std::uint64_t IndexFalls_ = 0;
+  std::uint64_t Takeovers_ = 0;
+  // Role as of a generation of the host table; computing it hashes each host
+  // of the failure domain.
+  mutable std::uint64_t RoleGeneration_ = ~std::uint64_t(0);
+  mutable bool Role_ = false;
+};
+
+} // namespace marigold::distribution
--- a/unittests/Support/ArchiveTest.cpp
+++ b/unittests/Support/ArchiveTest.cpp
@@ -20,9 +20,10 @@
              Record_,
              {0x7f000002, 7400},
              9,
+             7,
              HostState::Suspect,
              {{1, 300}, 77, std::chrono::milliseconds(1500), 3, {}},
-             {Record_}};
+             {{Record_, {}}}};
 };
 
 } // namespace
