--- /dev/null
+++ b/src/Node/PeerDispatcher.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Transport/PeerConnection.h"
+
+#include <utility>
+
+namespace marigold::node {
+
+/// Divides the frames of peer connections between the request path (calls and
+/// keys) and the control plane (synchronization and notices). Both are told
+/// of opened and closed connections.
+class PeerDispatcher : public transport::PeerHandler {
+public:
+  /// Both handlers must outlive the dispatcher.
+  PeerDispatcher(transport::PeerHandler &Calls, transport::PeerHandler &Control)
+      : Calls_(Calls), Control_(Control) {}
+
+  void onOpen(const transport::PeerConnectionPtr &Connection) override {
+    Calls_.onOpen(Connection);
+    Control_.onOpen(Connection);
+  }
+  void onClosed(const transport::PeerConnectionPtr &Connection,
+                const Failure &Why) override {
+    Calls_.onClosed(Connection, Why);
+    Control_.onClosed(Connection, Why);
+  }
+  std::optional<CallRefused>
+  onCallStart(const transport::PeerConnectionPtr &Connection,
+              const CallStart &Start) override {
+    return Calls_.onCallStart(Connection, Start);
+  }
+  void onCall(const transport::PeerConnectionPtr &Connection, CallStart Start,
+              std::string Body) override {
+    Calls_.onCall(Connection, std::move(Start), std::move(Body));
+  }
+  void onCallCancel(const transport::PeerConnectionPtr &Connection,
+                    std::uint32_t Stream) override {
+    Calls_.onCallCancel(Connection, Stream);
+  }
+  void onKeyRequest(const transport::PeerConnectionPtr &Connection,
+                    const KeyRequest &Request) override {
+    Calls_.onKeyRequest(Connection, Request);
+  }
+  void onSyncRequest(const transport::PeerConnectionPtr &Connection,
+                     SyncRequest Request) override {
+    Control_.onSyncRequest(Connection, std::move(Request));
+  }
+  void onSyncReply(const transport::PeerConnectionPtr &Connection,
+                   SyncReply Reply) override {
+    Control_.onSyncReply(Connection, std::move(Reply));
+  }
+  void onHostExchange(const transport::PeerConnectionPtr &Connection,
+                      HostExchange Exchange) override {
+    Control_.onHostExchange(Connection, std::move(Exchange));
+  }
+  void onHostStateNotice(const transport::PeerConnectionPtr &Connection,
+                         HostStateNotice Notice) override {
+    Control_.onHostStateNotice(Connection, std::move(Notice));
+  }
+
+private:
+  transport::PeerHandler &Calls_;
+  transport::PeerHandler &Control_;
+};
+
+} // namespace marigold::node
