--- /dev/null
+++ b/src/Node/CallerSide.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Node/CallEnvironment.h"
+#include "Transport/HttpServer.h"
+#include "Transport/PeerConnectionPool.h"
+
+#include "Schema/generated/Settings.h"
+#include "Support/Metrics.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+namespace marigold::node {
+
+class TargetSide;
+
+/// What the caller's side of the request path uses. All must outlive it.
+struct CallerSideParts {
+  /// Runs timers and callbacks.
+  boost::asio::io_context &Io_;
+  /// The control plane.
+  CallEnvironment &Environment_;
+  /// Connections to the nodes of targets.
+  transport::PeerConnectionPool &Peers_;
+  /// The target's side of this node, for calls to the own target; null on a
+  /// node without a service.
+  TargetSide *Local_ = nullptr;
+  /// Metrics.
+  MetricsRegistry &Metrics_;
+  /// Settings.
+  const NodeSettings &Settings_;
+};
+
+/// Takes HTTP requests of callers, chooses targets, sends the calls to the
+/// targets' nodes, retries refusals and tells callers the outcome.
+class CallerSide {
+public:
+  /// Seed starts the sequence of random choices.
+  CallerSide(CallerSideParts Parts, std::uint64_t Seed);
+  ~CallerSide();
+  CallerSide(const CallerSide &) = delete;
+  CallerSide &operator=(const CallerSide &) = delete;
+
+  /// Listens for callers. Port 0 takes a free port. Fails with
+  /// ConnectionFailed when the address is in use.
+  Result<void> listen(const Address &Local);
+
+  /// Port that is listened on.
+  std::uint16_t port() const;
+
+  /// Requests of callers that are not answered yet.
+  std::size_t open() const;
+
+  /// Stops accepting connections; requests in progress are still answered.
+  void drain();
+
+  /// Closes all connections of callers.
+  void stop();
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace marigold::node
--- /dev/null
+++ b/src/Node/TargetSide.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "Node/CallEnvironment.h"
+#include "Transport/PeerConnection.h"
+
+#include "Schema/generated/Settings.h"
+#include "Support/Metrics.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace marigold::node {
+
+/// What the target's side of the request path uses. All must outlive it.
+struct TargetSideParts {
+  /// Runs timers and callbacks.
+  boost::asio::io_context &Io_;
+  /// The control plane.
+  CallEnvironment &Environment_;
+  /// Metrics.
+  MetricsRegistry &Metrics_;
+  /// Settings; Service_ may be empty, then every call is refused.
+  const NodeSettings &Settings_;
+};
+
+/// Admits calls for the target beside this node and runs them there. Receives
+/// calls from peer connections as their handler, and from the same node
+/// directly. State is in an admission shard and a key shard.
+class TargetSide : public transport::PeerHandler {
+public:
+  /// Seed starts the sequence of random keys and crash ids. Incarnation is
+  /// that of this process; keys are bound to it.
+  TargetSide(TargetSideParts Parts, std::uint64_t Incarnation,
+             std::uint64_t Seed);
+  ~TargetSide() override;
+  TargetSide(const TargetSide &) = delete;
+  TargetSide &operator=(const TargetSide &) = delete;
+
+  /// Starts to test whether the target accepts connections.
+  void start();
+
+  /// A call from the caller's side of the same node. Done is called exactly
+  /// once unless the call is cancelled. Returns a number for cancelLocal.
+  std::uint64_t callLocal(CallStart Start,
+                          std::shared_ptr<const std::string> Body,
+                          transport::StreamCallback Done);
+
+  /// Gives up a call of callLocal.
+  void cancelLocal(std::uint64_t Number);
+
+  /// Issues a key for the own target. Fails with KeyTableFull, WrongService,
+  /// Draining or NotReady.
+  Result<std::string> issueKey(const std::string &Service);
+
+  /// Refuses new calls from now on. Done runs once all calls in progress have
+  /// ended, or at once on a repeated call after that.
+  void drain(std::function<void()> Done);
+
+  /// Fingerprints of requests in progress at a crash, received from another
+  /// node of the service.
+  void onCrashNotice(const CrashNotice &Notice);
+
+  /// Load for the status page.
+  LoadReport load() const;
+
+  /// Whether the target's process accepted the last connection.
+  bool targetUp() const;
+
+  /// Cancels all calls and timers.
+  void stop();
+
+  std::optional<CallRefused>
+  onCallStart(const transport::PeerConnectionPtr &Connection,
+              const CallStart &Start) override;
+  void onCall(const transport::PeerConnectionPtr &Connection, CallStart Start,
+              std::string Body) override;
+  void onCallCancel(const transport::PeerConnectionPtr &Connection,
+                    std::uint32_t Stream) override;
+  void onKeyRequest(const transport::PeerConnectionPtr &Connection,
+                    const KeyRequest &Request) override;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace marigold::node
