--- a/src/Node/PeerDispatcher.h
+++ b/src/Node/PeerDispatcher.h
@@ -41,6 +41,9 @@
                     const KeyRequest &Request) override {
     Calls_.onKeyRequest(Connection, Request);
   }
+  void onControlBytes(MessageType Type, std::size_t Bytes) override {
+    Control_.onControlBytes(Type, Bytes);
+  }
   void onSyncRequest(const transport::PeerConnectionPtr &Connection,
                      SyncRequest Request) override {
     Control_.onSyncRequest(Connection, std::move(Request));
--- /dev/null
+++ b/src/Transport/Listener.cpp
@@ -0,0 +1,97 @@
+#include "Transport/Listener.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+
+namespace marigold::transport {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// Pause after an accept that failed, for example because no descriptor was
+// left; without it the loop would take a whole core.
+constexpr auto AcceptPause = std::chrono::milliseconds(20);
+
+} // namespace
+
+class Listener::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  explicit Impl(asio::io_context &Io)
+      : Io_(Io), Acceptor_(asio::make_strand(Io)),
+        Pause_(Acceptor_.get_executor()) {}
+
+  Result<void> listen(const Address &Local, Accepted OnAccepted) {
+    boost::system::error_code Error;
+    tcp::endpoint Endpoint(asio::ip::address_v4(Local.Ipv4_), Local.Port_);
+    Acceptor_.open(tcp::v4(), Error);
+    if (!Error)
+      Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
+    if (!Error)
+      Acceptor_.bind(Endpoint, Error);
+    if (!Error)
+      Acceptor_.listen(asio::socket_base::max_listen_connections, Error);
+    if (Error)
+      return fail(ErrorCode::ConnectionFailed, Error.message());
+    Port_ = Acceptor_.local_endpoint(Error).port();
+    OnAccepted_ = std::move(OnAccepted);
+    asio::dispatch(Acceptor_.get_executor(),
+                   [Self = shared_from_this()] { Self->accept(); });
+    return success();
+  }
+
+  void accept() {
+    if (Stopped_)
+      return;
+    Acceptor_.async_accept(
+        asio::make_strand(Io_),
+        [Self = shared_from_this()](boost::system::error_code Error,
+                                    tcp::socket Socket) {
+          if (Self->Stopped_)
+            return;
+          if (!Error) {
+            Self->OnAccepted_(std::move(Socket));
+            Self->accept();
+            return;
+          }
+          Self->Pause_.expires_after(AcceptPause);
+          Self->Pause_.async_wait(
+              [Self](boost::system::error_code) { Self->accept(); });
+        });
+  }
+
+  void stop() {
+    if (Stopped_.exchange(true))
+      return;
+    asio::dispatch(Acceptor_.get_executor(), [Self = shared_from_this()] {
+      boost::system::error_code Ignored;
+      Self->Acceptor_.close(Ignored);
+      Self->Pause_.cancel();
+    });
+  }
+
+  asio::io_context &Io_;
+  tcp::acceptor Acceptor_;
+  asio::steady_timer Pause_;
+  Accepted OnAccepted_;
+  std::uint16_t Port_ = 0;
+  std::atomic<bool> Stopped_ = false;
+};
+
+Listener::Listener(asio::io_context &Io) : Impl_(std::make_shared<Impl>(Io)) {}
+
+Listener::~Listener() { stop(); }
+
+Result<void> Listener::listen(const Address &Local, Accepted OnAccepted) {
+  return Impl_->listen(Local, std::move(OnAccepted));
+}
+
+std::uint16_t Listener::port() const { return Impl_->Port_; }
+
+void Listener::stop() { Impl_->stop(); }
+
+} // namespace marigold::transport
--- a/src/Transport/PeerConnection.h
+++ b/src/Transport/PeerConnection.h
@@ -115,6 +115,10 @@
   /// The peer asks for a key. The handler answers with sendKey or refuse.
   virtual void onKeyRequest(const PeerConnectionPtr &, const KeyRequest &);
 
+  /// Size on the wire of a received frame that is not part of a call, for the
+  /// counters of control traffic. Called before the frame is handled.
+  virtual void onControlBytes(MessageType, std::size_t) {}
+
   /// The peer asks for a configuration version.
   virtual void onSyncRequest(const PeerConnectionPtr &, SyncRequest) {}
 
--- /dev/null
+++ b/src/Transport/PeerLink.cpp
@@ -0,0 +1,389 @@
+#include "Transport/PeerLink.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cstring>
+
+namespace marigold::transport {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// A frame starts with its length (4 bytes, big-endian, counting type and body)
+// and its type.
+constexpr std::size_t FrameHead = 5;
+constexpr std::size_t ReadSize = 64 * 1024;
+// Bytes of one write. Larger batches save system calls but let a control
+// frame wait longer behind data.
+constexpr std::size_t BatchLimit = 64 * 1024;
+// Unacknowledged data older than this ends the connection, so that a peer that
+// vanished is noticed before the kernel's default of about 15 minutes.
+constexpr unsigned UserTimeoutMs = 10'000;
+
+// Beyond this number a connection opens no streams any more, so that numbers
+// never wrap. The margin covers calls that are being submitted.
+constexpr std::uint32_t LastStream = 0xffff0000;
+
+void storeLength(char *Out, std::size_t Length) {
+  for (unsigned Index = 0; Index < 4; ++Index)
+    Out[Index] = static_cast<char>((Length >> (24 - 8 * Index)) & 0xff);
+}
+
+std::size_t loadLength(const char *In) {
+  std::size_t Length = 0;
+  for (unsigned Index = 0; Index < 4; ++Index)
+    Length = Length << 8 | static_cast<unsigned char>(In[Index]);
+  return Length;
+}
+
+} // namespace
+
+std::string makeFrame(MessageType Type, std::string_view Body) {
+  std::string Frame(FrameHead, '\0');
+  storeLength(Frame.data(), Body.size() + 1);
+  Frame[FrameHead - 1] = static_cast<char>(Type);
+  Frame.append(Body);
+  return Frame;
+}
+
+PeerLink::PeerLink(tcp::socket Socket, PeerHandler &Handler,
+                   const PeerOptions &Options, bool Opener,
+                   std::optional<HostId> Expected, Ready OnReady)
+    : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()),
+      Handler_(Handler), Options_(Options), Opener_(Opener),
+      Expected_(Expected), OnReady_(std::move(OnReady)),
+      LastUse_(std::chrono::steady_clock::now().time_since_epoch().count()),
+      NextStream_(Opener ? 1 : 2), Input_(ReadSize) {}
+
+void PeerLink::start() {
+  boost::system::error_code Ignored;
+  Socket_.set_option(tcp::no_delay(true), Ignored);
+  ::setsockopt(Socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &UserTimeoutMs, sizeof(UserTimeoutMs));
+  sendControl(
+      makeFrame(MessageType::Hello,
+                encodeBody(Hello{PeerProtocolVersion, Options_.Mesh_,
+                                 Options_.OwnRecord_ ? Options_.OwnRecord_()
+                                                     : HostRecord{}})));
+  armTimer(Options_.Limits_.Handshake_);
+  read();
+}
+
+// Commands of other threads. Numbers are given and commands are queued under
+// one lock, so that streams reach the strand in the order of their numbers.
+
+void PeerLink::submit(Command Task) {
+  {
+    std::lock_guard Lock(CommandMutex_);
+    Commands_.push_back(std::move(Task));
+    if (std::exchange(CommandsScheduled_, true))
+      return;
+  }
+  scheduleCommands();
+}
+
+std::uint32_t
+PeerLink::submitStream(const std::function<Command(std::uint32_t)> &MakeTask) {
+  std::uint32_t Stream = 0;
+  {
+    std::lock_guard Lock(CommandMutex_);
+    Stream = NextStream_;
+    NextStream_ += 2;
+    if (Stream > LastStream)
+      Retired_ = true;
+    Commands_.push_back(MakeTask(Stream));
+    if (std::exchange(CommandsScheduled_, true))
+      return Stream;
+  }
+  scheduleCommands();
+  return Stream;
+}
+
+void PeerLink::scheduleCommands() {
+  asio::dispatch(Socket_.get_executor(),
+                 [Self = shared_from_this()] { Self->runCommands(); });
+}
+
+void PeerLink::runCommands() {
+  std::vector<Command> Tasks;
+  {
+    std::lock_guard Lock(CommandMutex_);
+    Tasks.swap(Commands_);
+    CommandsScheduled_ = false;
+  }
+  for (Command &Task : Tasks)
+    Task(*this);
+  flush();
+}
+
+// Reading.
+
+void PeerLink::read() {
+  if (InputBegin_ == InputEnd_)
+    InputBegin_ = InputEnd_ = 0;
+  if (InputEnd_ == Input_.size()) {
+    std::memmove(Input_.data(), Input_.data() + InputBegin_,
+                 InputEnd_ - InputBegin_);
+    InputEnd_ -= InputBegin_;
+    InputBegin_ = 0;
+  }
+  // A frame larger than the buffer: its limit was checked by parseFrames.
+  if (InputEnd_ == Input_.size())
+    Input_.resize(Input_.size() * 2);
+  Socket_.async_read_some(
+      asio::buffer(Input_.data() + InputEnd_, Input_.size() - InputEnd_),
+      [Self = shared_from_this()](boost::system::error_code Error,
+                                  std::size_t Size) {
+        Self->onRead(Error, Size);
+      });
+}
+
+void PeerLink::onRead(boost::system::error_code Error, std::size_t Size) {
+  if (Closed_)
+    return;
+  if (Error) {
+    shutDown(fail(ErrorCode::ConnectionFailed, Error.message()));
+    return;
+  }
+  InputEnd_ += Size;
+  LastUse_ = std::chrono::steady_clock::now().time_since_epoch().count();
+  Result<void> Parsed = parseFrames();
+  if (Closed_)
+    return;
+  if (!Parsed) {
+    if (Options_.Metrics_ && Parsed.error().Code_ != ErrorCode::ProtocolVersion)
+      Options_.Metrics_->add(Metric::MessagesMalformedTotal);
+    shutDown(Parsed.error());
+    return;
+  }
+  flush();
+  if (InputBegin_ == InputEnd_ && Input_.size() > ReadSize) {
+    Input_.resize(ReadSize);
+    Input_.shrink_to_fit();
+  }
+  read();
+}
+
+Result<void> PeerLink::parseFrames() {
+  while (InputEnd_ - InputBegin_ >= FrameHead) {
+    const char *Begin = Input_.data() + InputBegin_;
+    std::size_t Length = loadLength(Begin);
+    auto Type = static_cast<std::uint8_t>(Begin[FrameHead - 1]);
+    const PeerLimits &Limits = Options_.Limits_;
+    std::size_t Limit =
+        Type == static_cast<std::uint8_t>(MessageType::SyncReply)
+            ? Limits.SnapshotFrame_
+            : Limits.Frame_;
+    if (Length == 0)
+      return marigold::fail(ErrorCode::MessageMalformed, "empty frame");
+    if (Length - 1 > Limit)
+      return marigold::fail(ErrorCode::MessageTooLarge,
+                            std::to_string(Length - 1) + " bytes in " +
+                                std::string(messageName(Type)));
+    if (InputEnd_ - InputBegin_ < Length + 4)
+      return success();
+    BOOST_OUTCOME_TRY(
+        dispatchFrame(Type, std::string_view(Begin + FrameHead, Length - 1)));
+    if (Closed_)
+      return success();
+    InputBegin_ += Length + 4;
+  }
+  return success();
+}
+
+// Writing.
+
+void PeerLink::sendControl(std::string Frame) {
+  if (Closed_)
+    return;
+  ControlBytes_ += Frame.size();
+  Control_.push_back(std::move(Frame));
+  if (ControlBytes_ > Options_.Limits_.ControlQueue_)
+    shutDown(marigold::fail(ErrorCode::ConnectionFailed,
+                            "the peer reads too slowly"));
+}
+
+void PeerLink::sendStream(std::uint32_t Stream, Outgoing Entry) {
+  if (Entry.Body_)
+    QueuedBodies_ += Entry.Body_->size();
+  Entry.Credit_ = Options_.Limits_.Window_;
+  Entry.Queued_ = true;
+  Outgoing_.insert_or_assign(Stream, std::move(Entry));
+  Ready_.push_back(Stream);
+}
+
+void PeerLink::dropOutgoing(std::uint32_t Stream) {
+  auto Position = Outgoing_.find(Stream);
+  if (Position == Outgoing_.end())
+    return;
+  const Outgoing &Entry = Position->second;
+  if (Entry.Body_)
+    QueuedBodies_ -= Entry.Body_->size();
+  // Ready_ may still hold the number; appendStreamPiece skips it.
+  Outgoing_.erase(Position);
+}
+
+bool PeerLink::appendStreamPiece() {
+  std::uint32_t Stream = Ready_.front();
+  Ready_.pop_front();
+  auto Position = Outgoing_.find(Stream);
+  if (Position == Outgoing_.end())
+    return false;
+  Outgoing &Entry = Position->second;
+  Entry.Queued_ = false;
+  Piece Part;
+  if (!Entry.HeadSent_) {
+    Part.Text_ = std::move(Entry.Head_);
+    Entry.HeadSent_ = true;
+    auto Own = Opened_.find(Stream);
+    if (Own != Opened_.end())
+      Own->second.Written_ = true;
+  }
+  std::size_t Total = Entry.Body_ ? Entry.Body_->size() : 0;
+  std::size_t Size =
+      std::min<std::size_t>({Total - Entry.Offset_, Options_.Limits_.Chunk_,
+                             static_cast<std::size_t>(Entry.Credit_)});
+  if (Size != 0) {
+    // The data frame is written in place: its head here, its bytes from the
+    // shared body. The encoding is that of CallData and ReplyData.
+    std::string Body;
+    WireOutput Ar(Body);
+    Ar.saveVarint(Stream);
+    Ar.saveVarint(Size);
+    std::string Frame = makeFrame(Entry.DataType_, Body);
+    storeLength(Frame.data(), Body.size() + Size + 1);
+    Part.Text_ += Frame;
+    Part.Body_ = Entry.Body_;
+    Part.Offset_ = Entry.Offset_;
+    Part.Size_ = Size;
+    Entry.Offset_ += Size;
+    Entry.Credit_ -= Size;
+  }
+  bool Finished = Entry.Offset_ == Total;
+  std::string Tail = Finished ? std::move(Entry.Tail_) : std::string();
+  bool Again = !Finished && Entry.Credit_ != 0;
+  BatchBytes_ += Part.Text_.size() + Part.Size_ + Tail.size();
+  if (Part.Size_ == 0)
+    Part.Text_ += Tail;
+  Pieces_.push_back(std::move(Part));
+  if (Pieces_.back().Size_ != 0 && !Tail.empty())
+    Pieces_.push_back({std::move(Tail), nullptr, 0, 0});
+  if (Finished) {
+    dropOutgoing(Stream);
+  } else if (Again) {
+    Entry.Queued_ = true;
+    Ready_.push_back(Stream);
+  }
+  return true;
+}
+
+void PeerLink::flush() {
+  if (Writing_ || Closed_)
+    return;
+  Pieces_.clear();
+  Batch_.clear();
+  BatchBytes_ = 0;
+  while (!Control_.empty() && BatchBytes_ < BatchLimit) {
+    BatchBytes_ += Control_.front().size();
+    ControlBytes_ -= Control_.front().size();
+    Pieces_.push_back({std::move(Control_.front()), nullptr, 0, 0});
+    Control_.pop_front();
+  }
+  while (!Ready_.empty() && BatchBytes_ < BatchLimit)
+    appendStreamPiece();
+  if (Pieces_.empty())
+    return;
+  for (const Piece &Part : Pieces_) {
+    Batch_.push_back(asio::buffer(Part.Text_));
+    if (Part.Size_ != 0)
+      Batch_.push_back(
+          asio::buffer(Part.Body_->data() + Part.Offset_, Part.Size_));
+  }
+  Writing_ = true;
+  asio::async_write(
+      Socket_, Batch_,
+      [Self = shared_from_this()](boost::system::error_code Error,
+                                  std::size_t) { Self->onWritten(Error); });
+}
+
+void PeerLink::onWritten(boost::system::error_code Error) {
+  Writing_ = false;
+  if (Closed_)
+    return;
+  if (Error) {
+    shutDown(marigold::fail(ErrorCode::ConnectionFailed, Error.message()));
+    return;
+  }
+  flush();
+}
+
+// Life cycle.
+
+void PeerLink::armTimer(Duration Delay) {
+  Timer_.expires_after(Delay);
+  Timer_.async_wait(
+      [Self = shared_from_this()](boost::system::error_code Error) {
+        if (!Error && !Self->Closed_)
+          Self->onTimer();
+      });
+}
+
+void PeerLink::onTimer() {
+  if (!Open_) {
+    shutDown(marigold::fail(ErrorCode::TimedOut, "no Hello from the peer"));
+    return;
+  }
+  Duration Idle = std::chrono::steady_clock::now() - lastUse();
+  if (Idle >= Options_.Limits_.Idle_ && StreamCount_ == 0) {
+    shutDown(marigold::fail(ErrorCode::ConnectionFailed, "idle"));
+    return;
+  }
+  armTimer(Options_.Limits_.Idle_ / 2);
+}
+
+void PeerLink::close(Failure Why) {
+  asio::dispatch(Socket_.get_executor(),
+                 [Self = shared_from_this(), Why = std::move(Why)]() mutable {
+                   Self->shutDown(std::move(Why));
+                 });
+}
+
+void PeerLink::shutDown(Failure Why) {
+  if (Closed_)
+    return;
+  Closed_ = true;
+  bool WasOpen = Open_.exchange(false);
+  auto Self = shared_from_this();
+  boost::system::error_code Ignored;
+  Socket_.close(Ignored);
+  Timer_.cancel();
+  if (!WasOpen) {
+    if (OnReady_)
+      std::exchange(OnReady_, nullptr)(Why);
+  } else if (Options_.Metrics_) {
+    Options_.Metrics_->add(Metric::PeerConnections, -1);
+  }
+  auto Lost = std::exchange(Opened_, {});
+  for (auto &[Stream, Entry] : Lost)
+    Entry.Done_(StreamLost{Entry.Written_, Why});
+  auto Dropped = std::exchange(Accepted_, {});
+  for (auto &[Stream, Entry] : Dropped)
+    if (Entry.Complete_)
+      Handler_.onCallCancel(Self, Stream);
+  Outgoing_.clear();
+  Ready_.clear();
+  Control_.clear();
+  updateStreamCount();
+  if (WasOpen)
+    Handler_.onClosed(Self, Why);
+}
+
+} // namespace marigold::transport
--- /dev/null
+++ b/src/Transport/PeerStreams.cpp
@@ -0,0 +1,476 @@
+#include "Transport/PeerLink.h"
+
+#include <utility>
+
+namespace marigold::transport {
+
+namespace {
+
+Failure unexpected(std::string Detail) {
+  return fail(ErrorCode::MessageUnexpected, std::move(Detail));
+}
+
+CallRefused refusal(std::uint32_t Stream, ErrorCode Code) {
+  return {Stream, static_cast<std::uint16_t>(Code), {}};
+}
+
+} // namespace
+
+std::optional<CallRefused> PeerHandler::onCallStart(const PeerConnectionPtr &,
+                                                    const CallStart &) {
+  return std::nullopt;
+}
+
+void PeerHandler::onCall(const PeerConnectionPtr &Connection, CallStart Start,
+                         std::string) {
+  Connection->refuse(refusal(Start.Stream_, ErrorCode::WrongService));
+}
+
+void PeerHandler::onKeyRequest(const PeerConnectionPtr &Connection,
+                               const KeyRequest &Request) {
+  Connection->refuse(refusal(Request.Stream_, ErrorCode::WrongService));
+}
+
+// Frames by type byte; null for types that are not sent over TCP.
+
+const std::vector<PeerLink::FrameReceiver> &PeerLink::receivers() {
+  static const std::vector<FrameReceiver> Table = [] {
+    std::vector<FrameReceiver> Rows(256, nullptr);
+    auto Set = [&](MessageType Type, FrameReceiver Function) {
+      Rows[static_cast<std::size_t>(Type)] = Function;
+    };
+    Set(MessageType::Hello, &PeerLink::decode<Hello>);
+    Set(MessageType::CallStart, &PeerLink::decode<CallStart>);
+    Set(MessageType::CallData, &PeerLink::decode<CallData>);
+    Set(MessageType::CallEnd, &PeerLink::decode<CallEnd>);
+    Set(MessageType::CallCancel, &PeerLink::decode<CallCancel>);
+    Set(MessageType::ReplyStart, &PeerLink::decode<ReplyStart>);
+    Set(MessageType::ReplyData, &PeerLink::decode<ReplyData>);
+    Set(MessageType::ReplyEnd, &PeerLink::decode<ReplyEnd>);
+    Set(MessageType::CallRefused, &PeerLink::decode<CallRefused>);
+    Set(MessageType::WindowUpdate, &PeerLink::decode<WindowUpdate>);
+    Set(MessageType::KeyRequest, &PeerLink::decode<KeyRequest>);
+    Set(MessageType::KeyReply, &PeerLink::decode<KeyReply>);
+    Set(MessageType::SyncRequest,
+        &PeerLink::decodeControl<SyncRequest, &PeerHandler::onSyncRequest>);
+    Set(MessageType::SyncReply,
+        &PeerLink::decodeControl<SyncReply, &PeerHandler::onSyncReply>);
+    Set(MessageType::HostExchange,
+        &PeerLink::decodeControl<HostExchange, &PeerHandler::onHostExchange>);
+    Set(MessageType::HostStateNotice,
+        &PeerLink::decodeControl<HostStateNotice,
+                                 &PeerHandler::onHostStateNotice>);
+    return Rows;
+  }();
+  return Table;
+}
+
+template <class Message> Result<void> PeerLink::decode(std::string_view Body) {
+  BOOST_OUTCOME_TRY(auto Value, decodeBody<Message>(Body));
+  return receive(std::move(Value));
+}
+
+template <class Message,
+          void (PeerHandler::*Function)(const PeerConnectionPtr &, Message)>
+Result<void> PeerLink::decodeControl(std::string_view Body) {
+  BOOST_OUTCOME_TRY(auto Value, decodeBody<Message>(Body));
+  Handler_.onControlBytes(MessageTypeOf<Message>::Value_, Body.size() + 5);
+  (Handler_.*Function)(shared_from_this(), std::move(Value));
+  return success();
+}
+
+Result<void> PeerLink::dispatchFrame(std::uint8_t Type, std::string_view Body) {
+  FrameReceiver Receiver = receivers()[Type];
+  if (!Receiver)
+    return marigold::fail(ErrorCode::MessageMalformed,
+                          "type " + std::to_string(Type));
+  bool IsHello = Type == static_cast<std::uint8_t>(MessageType::Hello);
+  if (IsHello == Open_)
+    return unexpected(std::string(messageName(Type)));
+  return (this->*Receiver)(Body);
+}
+
+Result<void> PeerLink::receive(Hello Value) {
+  if (Value.Protocol_ != PeerProtocolVersion || Value.Mesh_ != Options_.Mesh_)
+    return marigold::fail(ErrorCode::ProtocolVersion,
+                          "protocol " + std::to_string(Value.Protocol_) +
+                              ", mesh hash " + std::to_string(Value.Mesh_));
+  if (Expected_ && Value.Sender_.Id_ != *Expected_)
+    return marigold::fail(ErrorCode::ProtocolVersion,
+                          "the peer has another identity");
+  Peer_ = std::move(Value.Sender_);
+  Open_ = true;
+  if (Options_.Metrics_)
+    Options_.Metrics_->add(Metric::PeerConnections, 1);
+  armTimer(Options_.Limits_.Idle_ / 2);
+  Handler_.onOpen(shared_from_this());
+  if (OnReady_)
+    std::exchange(OnReady_, nullptr)(PeerConnectionPtr(shared_from_this()));
+  return success();
+}
+
+// Streams that this side opens.
+
+std::uint32_t PeerLink::call(CallStart Start,
+                             std::shared_ptr<const std::string> Body,
+                             StreamCallback Done) {
+  return submitStream([&](std::uint32_t Stream) {
+    Start.Stream_ = Stream;
+    Start.BodySize_ = Body ? Body->size() : 0;
+    return [Start = std::move(Start), Body = std::move(Body),
+            Done = std::move(Done)](PeerLink &Link) mutable {
+      std::uint32_t Number = Start.Stream_;
+      Opened Entry;
+      Entry.Done_ = std::move(Done);
+      Link.openStream(
+          Number, std::move(Entry),
+          makeFrame(MessageType::CallStart, encodeBody(Start)), std::move(Body),
+          makeFrame(MessageType::CallEnd, encodeBody(CallEnd{Number})));
+    };
+  });
+}
+
+std::uint32_t PeerLink::requestKey(std::string Service, StreamCallback Done) {
+  return submitStream([&](std::uint32_t Stream) {
+    return [Stream, Service = std::move(Service),
+            Done = std::move(Done)](PeerLink &Link) mutable {
+      Opened Entry;
+      Entry.Done_ = std::move(Done);
+      Entry.Key_ = true;
+      Link.openStream(Stream, std::move(Entry),
+                      makeFrame(MessageType::KeyRequest,
+                                encodeBody(KeyRequest{Stream, Service})),
+                      nullptr, {});
+    };
+  });
+}
+
+void PeerLink::openStream(std::uint32_t Stream, Opened Entry, std::string Head,
+                          std::shared_ptr<const std::string> Body,
+                          std::string Tail) {
+  LastOpened_ = Stream;
+  const PeerLimits &Limits = Options_.Limits_;
+  std::size_t Size = Body ? Body->size() : 0;
+  std::optional<Failure> Why;
+  if (!isOpen())
+    Why = marigold::fail(ErrorCode::ConnectionFailed, "closed");
+  else if (Opened_.size() >= Limits.Streams_)
+    Why = marigold::fail(ErrorCode::QueueFull, "too many streams");
+  else if (Size != 0 && QueuedBodies_ + Size > Limits.BodyQueue_)
+    Why = marigold::fail(ErrorCode::QueueFull, "too many bodies");
+  else if (Head.size() > Limits.Frame_)
+    Why = marigold::fail(ErrorCode::HeaderTooLarge, "header fields");
+  if (Why) {
+    Entry.Done_(StreamLost{false, std::move(*Why)});
+    return;
+  }
+  Opened_.emplace(Stream, std::move(Entry));
+  updateStreamCount();
+  Outgoing Data;
+  Data.Head_ = std::move(Head);
+  Data.Body_ = std::move(Body);
+  Data.Tail_ = std::move(Tail);
+  Data.DataType_ = MessageType::CallData;
+  sendStream(Stream, std::move(Data));
+}
+
+void PeerLink::cancel(std::uint32_t Stream) {
+  submit([Stream](PeerLink &Link) {
+    auto Position = Link.Opened_.find(Stream);
+    if (Position == Link.Opened_.end())
+      return;
+    bool Written = Position->second.Written_;
+    Link.Opened_.erase(Position);
+    Link.dropOutgoing(Stream);
+    Link.updateStreamCount();
+    if (Written)
+      Link.sendControl(
+          makeFrame(MessageType::CallCancel, encodeBody(CallCancel{Stream})));
+  });
+}
+
+Result<PeerLink::Opened *> PeerLink::findOpened(std::uint32_t Stream) {
+  auto Position = Opened_.find(Stream);
+  if (Position != Opened_.end())
+    return &Position->second;
+  // Frames for a stream that was cancelled may still be under way.
+  if (isOwn(Stream) && Stream <= LastOpened_)
+    return nullptr;
+  return unexpected("unknown stream " + std::to_string(Stream));
+}
+
+void PeerLink::finishOpened(std::uint32_t Stream, StreamResult Value) {
+  auto Position = Opened_.find(Stream);
+  StreamCallback Done = std::move(Position->second.Done_);
+  Opened_.erase(Position);
+  dropOutgoing(Stream);
+  updateStreamCount();
+  Done(std::move(Value));
+}
+
+Result<void> PeerLink::receive(ReplyStart Value) {
+  BOOST_OUTCOME_TRY(Opened * Entry, findOpened(Value.Stream_));
+  if (!Entry)
+    return success();
+  if (Entry->Start_ || Entry->Key_)
+    return unexpected("ReplyStart");
+  std::uint32_t Stream = Value.Stream_;
+  if (Value.BodySize_ > Options_.Limits_.Reply_) {
+    sendControl(
+        makeFrame(MessageType::CallCancel, encodeBody(CallCancel{Stream})));
+    finishOpened(Stream, refusal(Stream, ErrorCode::AnswerTooLarge));
+    return success();
+  }
+  Entry->Start_ = std::move(Value);
+  return success();
+}
+
+Result<void> PeerLink::receive(ReplyData Value) {
+  BOOST_OUTCOME_TRY(Opened * Entry, findOpened(Value.Stream_));
+  if (!Entry)
+    return success();
+  std::size_t Size = Value.Data_.size();
+  if (!Entry->Start_ || Size == 0 ||
+      Entry->Body_.size() + Size > Entry->Start_->BodySize_ ||
+      Entry->Ungranted_ + Size > Options_.Limits_.Window_)
+    return unexpected("ReplyData");
+  if (Entry->Body_.empty())
+    Entry->Body_ = std::move(Value.Data_);
+  else
+    Entry->Body_ += Value.Data_;
+  grant(Value.Stream_, Entry->Ungranted_, Size);
+  return success();
+}
+
+Result<void> PeerLink::receive(ReplyEnd Value) {
+  BOOST_OUTCOME_TRY(Opened * Entry, findOpened(Value.Stream_));
+  if (!Entry)
+    return success();
+  if (!Entry->Start_ || Entry->Body_.size() != Entry->Start_->BodySize_)
+    return unexpected("ReplyEnd");
+  PeerReply Reply{std::move(*Entry->Start_), std::move(Entry->Body_),
+                  std::move(Value)};
+  std::uint32_t Stream = Reply.End_.Stream_;
+  finishOpened(Stream, std::move(Reply));
+  return success();
+}
+
+Result<void> PeerLink::receive(CallRefused Value) {
+  if (!errorFromNumber(Value.Code_))
+    return marigold::fail(ErrorCode::MessageMalformed,
+                          "error code " + std::to_string(Value.Code_));
+  BOOST_OUTCOME_TRY(Opened * Entry, findOpened(Value.Stream_));
+  if (Entry)
+    finishOpened(Value.Stream_, Value);
+  return success();
+}
+
+Result<void> PeerLink::receive(KeyReply Value) {
+  BOOST_OUTCOME_TRY(Opened * Entry, findOpened(Value.Stream_));
+  if (!Entry)
+    return success();
+  if (!Entry->Key_)
+    return unexpected("KeyReply");
+  std::uint32_t Stream = Value.Stream_;
+  finishOpened(Stream, std::move(Value));
+  return success();
+}
+
+// Streams that the peer opens.
+
+Result<void> PeerLink::acceptNumber(std::uint32_t Stream) {
+  if (isOwn(Stream) || Stream <= LastAccepted_)
+    return unexpected("stream " + std::to_string(Stream) + " opened again");
+  LastAccepted_ = Stream;
+  return success();
+}
+
+Result<void> PeerLink::receive(CallStart Value) {
+  std::uint32_t Stream = Value.Stream_;
+  BOOST_OUTCOME_TRY(acceptNumber(Stream));
+  const PeerLimits &Limits = Options_.Limits_;
+  if (Accepted_.size() >= Limits.Streams_ ||
+      (Value.BodySize_ != 0 &&
+       Receiving_ + Value.BodySize_ > Limits.Reception_)) {
+    refuseOnStrand(refusal(Stream, ErrorCode::QueueFull));
+    return success();
+  }
+  if (auto Refusal = Handler_.onCallStart(shared_from_this(), Value)) {
+    Refusal->Stream_ = Stream;
+    refuseOnStrand(*Refusal);
+    return success();
+  }
+  Receiving_ += Value.BodySize_;
+  Accepted Entry;
+  Entry.Start_ = std::move(Value);
+  Accepted_.emplace(Stream, std::move(Entry));
+  updateStreamCount();
+  return success();
+}
+
+Result<void> PeerLink::receive(CallData Value) {
+  auto Position = Accepted_.find(Value.Stream_);
+  if (Position == Accepted_.end()) {
+    // The stream was refused while data was under way.
+    if (!isOwn(Value.Stream_) && Value.Stream_ <= LastAccepted_)
+      return success();
+    return unexpected("CallData");
+  }
+  Accepted &Entry = Position->second;
+  std::size_t Size = Value.Data_.size();
+  if (Entry.Complete_ || Size == 0 ||
+      Entry.Body_.size() + Size > Entry.Start_.BodySize_ ||
+      Entry.Ungranted_ + Size > Options_.Limits_.Window_)
+    return unexpected("CallData");
+  if (Entry.Body_.empty())
+    Entry.Body_ = std::move(Value.Data_);
+  else
+    Entry.Body_ += Value.Data_;
+  grant(Value.Stream_, Entry.Ungranted_, Size);
+  return success();
+}
+
+Result<void> PeerLink::receive(CallEnd Value) {
+  auto Position = Accepted_.find(Value.Stream_);
+  if (Position == Accepted_.end()) {
+    if (!isOwn(Value.Stream_) && Value.Stream_ <= LastAccepted_)
+      return success();
+    return unexpected("CallEnd");
+  }
+  Accepted &Entry = Position->second;
+  if (Entry.Complete_ || Entry.Body_.size() != Entry.Start_.BodySize_)
+    return unexpected("CallEnd with an incomplete body");
+  Entry.Complete_ = true;
+  Receiving_ -= Entry.Start_.BodySize_;
+  Handler_.onCall(shared_from_this(), std::move(Entry.Start_),
+                  std::move(Entry.Body_));
+  return success();
+}
+
+Result<void> PeerLink::receive(CallCancel Value) {
+  auto Position = Accepted_.find(Value.Stream_);
+  if (Position == Accepted_.end()) {
+    if (!isOwn(Value.Stream_) && Value.Stream_ <= LastAccepted_)
+      return success();
+    return unexpected("CallCancel");
+  }
+  bool Complete = Position->second.Complete_;
+  if (!Complete)
+    Receiving_ -= Position->second.Start_.BodySize_;
+  Accepted_.erase(Position);
+  dropOutgoing(Value.Stream_);
+  updateStreamCount();
+  if (Complete)
+    Handler_.onCallCancel(shared_from_this(), Value.Stream_);
+  return success();
+}
+
+Result<void> PeerLink::receive(KeyRequest Value) {
+  BOOST_OUTCOME_TRY(acceptNumber(Value.Stream_));
+  Accepted Entry;
+  Entry.Complete_ = true;
+  Accepted_.emplace(Value.Stream_, std::move(Entry));
+  updateStreamCount();
+  Handler_.onKeyRequest(shared_from_this(), Value);
+  return success();
+}
+
+void PeerLink::reply(std::uint32_t Stream, ReplyStart Start, std::string Body,
+                     ReplyEnd End) {
+  Start.Stream_ = End.Stream_ = Stream;
+  Start.BodySize_ = Body.size();
+  submit([Start = std::move(Start), Body = std::move(Body),
+          End](PeerLink &Link) mutable {
+    auto Position = Link.Accepted_.find(End.Stream_);
+    if (Position == Link.Accepted_.end())
+      return;
+    Outgoing Data;
+    Data.Head_ = makeFrame(MessageType::ReplyStart, encodeBody(Start));
+    const PeerLimits &Limits = Link.Options_.Limits_;
+    if (Data.Head_.size() > Limits.Frame_ ||
+        Link.QueuedBodies_ + Body.size() > Limits.BodyQueue_) {
+      Link.refuseOnStrand(refusal(End.Stream_, ErrorCode::AnswerTooLarge));
+      return;
+    }
+    Link.Accepted_.erase(Position);
+    Link.updateStreamCount();
+    if (!Body.empty())
+      Data.Body_ = std::make_shared<const std::string>(std::move(Body));
+    Data.Tail_ = makeFrame(MessageType::ReplyEnd, encodeBody(End));
+    Data.DataType_ = MessageType::ReplyData;
+    Link.sendStream(End.Stream_, std::move(Data));
+  });
+}
+
+void PeerLink::refuse(const CallRefused &Refusal) {
+  submit([Refusal](PeerLink &Link) {
+    if (Link.Accepted_.contains(Refusal.Stream_))
+      Link.refuseOnStrand(Refusal);
+  });
+}
+
+void PeerLink::refuseOnStrand(const CallRefused &Refusal) {
+  Accepted_.erase(Refusal.Stream_);
+  updateStreamCount();
+  sendControl(makeFrame(MessageType::CallRefused, encodeBody(Refusal)));
+}
+
+void PeerLink::sendKey(const KeyReply &Reply) {
+  submit([Reply](PeerLink &Link) {
+    if (Link.Accepted_.erase(Reply.Stream_) == 0)
+      return;
+    Link.updateStreamCount();
+    Link.sendControl(makeFrame(MessageType::KeyReply, encodeBody(Reply)));
+  });
+}
+
+// Flow control and messages outside streams.
+
+void PeerLink::grant(std::uint32_t Stream, std::size_t &Ungranted,
+                     std::size_t Size) {
+  // Half a window at a time: one WindowUpdate per eight data frames, and the
+  // sender never stops while this side keeps up.
+  Ungranted += Size;
+  if (Ungranted < Options_.Limits_.Window_ / 2)
+    return;
+  auto Credit = static_cast<std::uint32_t>(std::exchange(Ungranted, 0));
+  sendControl(makeFrame(MessageType::WindowUpdate,
+                        encodeBody(WindowUpdate{Stream, Credit})));
+}
+
+Result<void> PeerLink::receive(WindowUpdate Value) {
+  if (Value.Credit_ == 0)
+    return unexpected("WindowUpdate without credit");
+  auto Position = Outgoing_.find(Value.Stream_);
+  if (Position == Outgoing_.end())
+    return success();
+  Outgoing &Entry = Position->second;
+  Entry.Credit_ += Value.Credit_;
+  if (Entry.Credit_ > Options_.Limits_.Window_)
+    return unexpected("WindowUpdate beyond the window");
+  if (!Entry.Queued_) {
+    Entry.Queued_ = true;
+    Ready_.push_back(Value.Stream_);
+  }
+  return success();
+}
+
+std::size_t PeerLink::sendEncoded(MessageType Type, std::string Body) {
+  std::size_t Limit = Type == MessageType::SyncReply
+                          ? Options_.Limits_.SnapshotFrame_
+                          : Options_.Limits_.Frame_;
+  if (!isOpen() || Body.size() > Limit)
+    return 0;
+  std::string Frame = makeFrame(Type, Body);
+  std::size_t Size = Frame.size();
+  submit([Frame = std::move(Frame)](PeerLink &Link) mutable {
+    Link.sendControl(std::move(Frame));
+  });
+  return Size;
+}
+
+void PeerLink::updateStreamCount() {
+  StreamCount_ = Opened_.size() + Accepted_.size() + Outgoing_.size();
+}
+
+} // namespace marigold::transport
