Implement outcomes, deadlines, retries, keys and crash suspects

Each is a state machine without socket or clock, so that every order of events can be replayed. A byte counts as sent before the write, because a failed write may have sent a part. A key without a record never runs, so dropping records for space is safe; it only turns the answer into unknown.

--- a/src/Calls/CrashSuspects.h
+++ b/src/Calls/CrashSuspects.h
@@ -66,10 +66,12 @@
   struct Suspect {
     unsigned Crashes_ = 0;
     TimePoint LastCrash_;
+    std::uint64_t LastCrashId_ = 0;
     TimePoint HeldUntil_;
     bool Trial_ = false;
   };
 
+  void dropOldest();
   void makeRoom();
 
   CrashSuspectsSettings Settings_;
--- /dev/null
+++ b/src/Calls/KeyTable.cpp
@@ -0,0 +1,167 @@
+#include "Calls/KeyTable.h"
+
+#include <algorithm>
+
+namespace marigold::calls {
+namespace {
+
+/// Estimated bytes of a header field's or answer's bookkeeping.
+constexpr std::size_t Overhead = 64;
+
+Claim refuse(ErrorCode Reason, std::uint64_t Number = 0) {
+  return {ClaimAction::Refuse, Number, nullptr, Reason};
+}
+
+} // namespace
+
+std::size_t StoredAnswer::bytes() const {
+  std::size_t Sum = Overhead + Body_.size();
+  for (const Header &Field : Headers_)
+    Sum += Overhead + Field.Name_.size() + Field.Value_.size();
+  return Sum;
+}
+
+KeyTable::KeyTable(HostId Self, std::uint64_t Incarnation,
+                   std::uint64_t MeshHash, KeyTableSettings Settings,
+                   TimePoint Now)
+    : Self_(Self), Incarnation_(Incarnation), MeshHash_(MeshHash),
+      Settings_(Settings), Created_(Now) {}
+
+Result<std::string> KeyTable::issue(TimePoint Now) {
+  expire(Now);
+  if (!makeRoom())
+    return fail(ErrorCode::KeyTableFull,
+                std::to_string(Records_.size()) + " records in use");
+  std::uint64_t Number = NextNumber_++;
+  Record &Fresh = Records_[Number];
+  Fresh.Expiry_ = Now + Settings_.Lifetime_;
+  ByExpiry_.emplace(Fresh.Expiry_, Number);
+  RequestKey Key{Self_, Incarnation_, Number,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::max(Now - Created_, Duration::zero()))};
+  return formatKey(Key, MeshHash_);
+}
+
+Claim KeyTable::claim(std::string_view Text, std::uint64_t Fingerprint,
+                      TimePoint Now) {
+  auto Key = parseKey(Text, MeshHash_);
+  if (!Key)
+    return refuse(ErrorCode::KeyMalformed);
+  if (Key.value().Owner_ != Self_)
+    return refuse(ErrorCode::KeyOwnerUnreachable);
+  if (Key.value().Incarnation_ != Incarnation_)
+    return refuse(ErrorCode::KeyOwnerRestarted);
+  std::uint64_t Number = Key.value().Number_;
+  if (Number == 0 || Number >= NextNumber_)
+    return refuse(ErrorCode::KeyMalformed);
+  expire(Now);
+  auto Position = Records_.find(Number);
+  if (Position == Records_.end())
+    return refuse(ErrorCode::KeyExpired, Number);
+  Record &Held = Position->second;
+  if (Held.State_ == State::Issued) {
+    ByExpiry_.erase({Held.Expiry_, Number});
+    Held.State_ = State::Running;
+    Held.Fingerprint_ = Fingerprint;
+    return {ClaimAction::Run, Number, nullptr, {}};
+  }
+  if (Held.Fingerprint_ != Fingerprint)
+    return refuse(ErrorCode::MalformedRequest, Number);
+  switch (Held.State_) {
+  case State::Released:
+    return refuse(ErrorCode::KeyReleased, Number);
+  case State::Abandoned:
+    return refuse(Held.Reason_, Number);
+  case State::Done:
+    if (Held.Answer_)
+      return {ClaimAction::Replay, Number, Held.Answer_, {}};
+    return refuse(ErrorCode::KeyAnswerTooLarge, Number);
+  case State::Issued:
+  case State::Running:
+    break;
+  }
+  return refuse(ErrorCode::KeyInProgress, Number);
+}
+
+void KeyTable::complete(std::uint64_t Number, StoredAnswer Answer,
+                        TimePoint Now) {
+  Record *Held = running(Number);
+  if (!Held)
+    return;
+  finish(Number, *Held, State::Done, Now);
+  std::size_t Bytes = Answer.bytes();
+  // One answer may not push out all others.
+  if (Bytes > Settings_.AnswerBytes_ / 4)
+    return;
+  while (AnswerBytes_ + Bytes > Settings_.AnswerBytes_)
+    dropAnswer(Records_.at(AnswersByAge_.begin()->second));
+  Held->Answer_ = std::make_shared<const StoredAnswer>(std::move(Answer));
+  Held->AnswerAge_ = NextAge_++;
+  AnswersByAge_.emplace(Held->AnswerAge_, Number);
+  AnswerBytes_ += Bytes;
+}
+
+void KeyTable::release(std::uint64_t Number, TimePoint Now) {
+  Record *Held = running(Number);
+  if (!Held)
+    return;
+  finish(Number, *Held, State::Released, Now);
+  Released_.insert(Number);
+}
+
+void KeyTable::abandon(std::uint64_t Number, ErrorCode Reason, TimePoint Now) {
+  Record *Held = running(Number);
+  if (!Held)
+    return;
+  finish(Number, *Held, State::Abandoned, Now);
+  Held->Reason_ =
+      errorOutcome(Reason) == Outcome::Unknown ? Reason : ErrorCode::TargetLost;
+}
+
+void KeyTable::expire(TimePoint Now) {
+  while (!ByExpiry_.empty() && ByExpiry_.begin()->first <= Now)
+    erase(ByExpiry_.begin()->second);
+}
+
+KeyTable::Record *KeyTable::running(std::uint64_t Number) {
+  auto Position = Records_.find(Number);
+  if (Position == Records_.end() || Position->second.State_ != State::Running)
+    return nullptr;
+  return &Position->second;
+}
+
+void KeyTable::finish(std::uint64_t Number, Record &Held, State Final,
+                      TimePoint Now) {
+  Held.State_ = Final;
+  Held.Expiry_ = Now + Settings_.Lifetime_;
+  ByExpiry_.emplace(Held.Expiry_, Number);
+}
+
+void KeyTable::dropAnswer(Record &Held) {
+  if (!Held.Answer_)
+    return;
+  AnswerBytes_ -= Held.Answer_->bytes();
+  AnswersByAge_.erase(Held.AnswerAge_);
+  Held.Answer_.reset();
+}
+
+void KeyTable::erase(std::uint64_t Number) {
+  auto Position = Records_.find(Number);
+  if (Position == Records_.end())
+    return;
+  dropAnswer(Position->second);
+  ByExpiry_.erase({Position->second.Expiry_, Number});
+  Released_.erase(Number);
+  Records_.erase(Position);
+}
+
+bool KeyTable::makeRoom() {
+  if (Records_.size() < Settings_.Records_)
+    return true;
+  if (Released_.empty())
+    return false;
+  erase(*Released_.begin());
+  return true;
+}
+
+} // namespace marigold::calls
--- a/src/Calls/KeyTable.h
+++ b/src/Calls/KeyTable.h
@@ -121,19 +121,19 @@
   struct Record {
     State State_ = State::Issued;
     ErrorCode Reason_ = ErrorCode::TargetLost;
-    TimePoint IssuedAt_;
     /// End of the record; unused while running.
     TimePoint Expiry_;
     std::uint64_t Fingerprint_ = 0;
     std::shared_ptr<const StoredAnswer> Answer_;
+    /// Key in AnswersByAge_ while there is an answer.
+    std::uint64_t AnswerAge_ = 0;
   };
-  using RecordMap = std::unordered_map<std::uint64_t, Record>;
 
   Record *running(std::uint64_t Number);
   void finish(std::uint64_t Number, Record &Held, State Final, TimePoint Now);
-  void dropAnswer(std::uint64_t Number, Record &Held);
+  void dropAnswer(Record &Held);
   void erase(std::uint64_t Number);
-  bool makeRoom(TimePoint Now);
+  bool makeRoom();
 
   HostId Self_;
   std::uint64_t Incarnation_;
@@ -141,15 +141,14 @@
   KeyTableSettings Settings_;
   TimePoint Created_;
   std::uint64_t NextNumber_ = 1;
-  RecordMap Records_;
+  std::unordered_map<std::uint64_t, Record> Records_;
   /// Records that are not running, by end of the record.
   std::set<std::pair<TimePoint, std::uint64_t>> ByExpiry_;
-  /// Released records in the order of their release; dropped first when the
+  /// Released records; the one with the lowest number is dropped when the
   /// table is full, because a claim without a record does not run either.
   std::set<std::uint64_t> Released_;
   /// Stored answers in the order in which their requests ended.
   std::map<std::uint64_t, std::uint64_t> AnswersByAge_;
-  std::unordered_map<std::uint64_t, std::uint64_t> AnswerAge_;
   std::uint64_t NextAge_ = 0;
   std::size_t AnswerBytes_ = 0;
 };
--- /dev/null
+++ b/src/Calls/OutcomeTracker.cpp
@@ -0,0 +1,146 @@
+#include "Calls/OutcomeTracker.h"
+
+namespace marigold::calls {
+namespace {
+
+/// Refusals that show that the key cannot belong to an earlier request of this
+/// mesh, or that no key could be read at all.
+bool concernsNoEarlierRequest(ErrorCode Code) {
+  return Code == ErrorCode::KeyMalformed ||
+         Code == ErrorCode::MalformedRequest ||
+         Code == ErrorCode::HeaderTooLarge;
+}
+
+} // namespace
+
+bool OutcomeTracker::chosen() {
+  if (Ended_ || InAttempt_)
+    return false;
+  InAttempt_ = true;
+  Sent_ = false;
+  AnswerStarted_ = false;
+  Reason_.reset();
+  ++Attempts_;
+  return true;
+}
+
+void OutcomeTracker::connectFailed() {
+  if (Ended_ || !InAttempt_)
+    return;
+  endAttempt(Sent_ ? lostCode() : ErrorCode::TargetDown);
+}
+
+void OutcomeTracker::sentFirstByte() {
+  if (Ended_ || !InAttempt_)
+    return;
+  Sent_ = true;
+}
+
+void OutcomeTracker::refused(ErrorCode Code) {
+  if (Ended_)
+    return;
+  if (errorOutcome(Code) == Outcome::None || errorOutcome(Code) == Outcome::Ok)
+    Code = ErrorCode::MalformedAnswer;
+  bool FromPeer = InAttempt_ && Sent_;
+  if (!FromPeer) {
+    // A refusal by this node itself: nothing was sent in this attempt.
+    InAttempt_ = false;
+    Reason_ = Code;
+    if (errorOutcome(Code) == Outcome::Unknown) {
+      MayHaveRun_ = true;
+      RunReason_ = Code;
+    }
+    return;
+  }
+  // A target states nothing about a run, and a node that has begun an answer
+  // has forwarded the request.
+  bool Credible = Side_ == CallSide::CallerNode && !AnswerStarted_;
+  if (errorOutcome(Code) == Outcome::NotRun && !Credible)
+    Code = ErrorCode::MalformedAnswer;
+  OwnerSpoke_ = Credible;
+  endAttempt(Code);
+}
+
+void OutcomeTracker::refusedByNumber(std::uint16_t Number) {
+  refused(errorFromNumber(Number).value_or(ErrorCode::MalformedAnswer));
+}
+
+void OutcomeTracker::firstAnswerByte() {
+  // An answer without a request sent belongs to nobody.
+  if (Ended_ || !InAttempt_ || !Sent_)
+    return;
+  AnswerStarted_ = true;
+}
+
+void OutcomeTracker::answerComplete() {
+  if (Ended_ || !InAttempt_ || !Sent_)
+    return;
+  InAttempt_ = false;
+  Ended_ = true;
+  Answered_ = true;
+  MayHaveRun_ = true;
+  Reason_.reset();
+}
+
+void OutcomeTracker::answerInvalid(ErrorCode Code) {
+  if (Ended_ || !InAttempt_ || !Sent_)
+    return;
+  endAttempt(errorOutcome(Code) == Outcome::Unknown
+                 ? Code
+                 : ErrorCode::MalformedAnswer);
+}
+
+void OutcomeTracker::connectionLost() {
+  if (Ended_ || !InAttempt_)
+    return;
+  endAttempt(Sent_ ? lostCode() : ErrorCode::TargetDown);
+}
+
+void OutcomeTracker::deadlinePassed() {
+  if (Ended_)
+    return;
+  bool SentNow = InAttempt_ && Sent_;
+  endAttempt(SentNow ? ErrorCode::DeadlineExceeded
+                     : ErrorCode::DeadlineBeforeRun);
+  Ended_ = true;
+}
+
+void OutcomeTracker::cancelled() {
+  if (Ended_)
+    return;
+  bool SentNow = InAttempt_ && Sent_;
+  endAttempt(SentNow ? ErrorCode::Cancelled : ErrorCode::CancelledBeforeRun);
+  Ended_ = true;
+}
+
+Verdict OutcomeTracker::verdict() const {
+  if (Answered_)
+    return {Outcome::Ok, std::nullopt};
+  if (InAttempt_ && Sent_)
+    return {Outcome::Unknown, lostCode()};
+  if (MayHaveRun_)
+    return {Outcome::Unknown, RunReason_.value_or(lostCode())};
+  ErrorCode Code = Reason_.value_or(ErrorCode::NoTarget);
+  if (Keyed_ && !OwnerSpoke_ && !concernsNoEarlierRequest(Code))
+    return {Outcome::Unknown, ErrorCode::KeyOwnerUnreachable};
+  return {Outcome::NotRun, Code};
+}
+
+void OutcomeTracker::endAttempt(ErrorCode Code) {
+  InAttempt_ = false;
+  Reason_ = Code;
+  // A part of an answer was passed on; another attempt cannot follow it.
+  if (AnswerStarted_)
+    Ended_ = true;
+  if (errorOutcome(Code) != Outcome::Unknown)
+    return;
+  MayHaveRun_ = true;
+  RunReason_ = Code;
+}
+
+ErrorCode OutcomeTracker::lostCode() const {
+  return Side_ == CallSide::CallerNode ? ErrorCode::NodeLost
+                                       : ErrorCode::TargetLost;
+}
+
+} // namespace marigold::calls
--- /dev/null
+++ b/src/Calls/Retry.cpp
@@ -0,0 +1,77 @@
+#include "Calls/Retry.h"
+
+#include <algorithm>
+
+namespace marigold::calls {
+
+void RetryBudget::onCall(TimePoint Now) {
+  Tokens_ = std::min(tokensAt(Now) + Settings_.Ratio_, Settings_.Burst_);
+  Refilled_ = std::max(Refilled_, Now);
+}
+
+bool RetryBudget::take(TimePoint Now) {
+  Tokens_ = tokensAt(Now);
+  Refilled_ = std::max(Refilled_, Now);
+  if (Tokens_ < 1)
+    return false;
+  Tokens_ -= 1;
+  return true;
+}
+
+bool RetryBudget::available(TimePoint Now) const { return tokensAt(Now) >= 1; }
+
+double RetryBudget::tokensAt(TimePoint Now) const {
+  // Now may lie before the last refill when threads read the clock before
+  // they take the shard's lock.
+  Duration Since = std::max(Now - Refilled_, Duration::zero());
+  double Seconds = std::chrono::duration<double>(Since).count();
+  return std::min(Tokens_ + Seconds * Settings_.FloorPerSecond_,
+                  Settings_.Burst_);
+}
+
+bool RetryPolicy::isRetryable(ErrorCode Code) {
+  switch (Code) {
+  // The target's node can not take the request, another one may.
+  case ErrorCode::QueueFull:
+  case ErrorCode::Draining:
+  case ErrorCode::TargetDown:
+  case ErrorCode::NotReady:
+  // The target's node holds another version of the configuration.
+  case ErrorCode::UnknownService:
+  case ErrorCode::WrongService:
+  // The attempt was lost; another host can run a repeatable request.
+  case ErrorCode::NodeLost:
+  case ErrorCode::TargetLost:
+  case ErrorCode::MalformedAnswer:
+    return true;
+  default:
+    return false;
+  }
+}
+
+RetryDecision RetryPolicy::next(const AttemptState &State,
+                                const Deadline &Limit, RetryBudget &Budget,
+                                TimePoint Now) const {
+  RetryDecision Decision;
+  Decision.Final_ = State.Reason_;
+  if (State.AnswerStarted_ || State.Keyed_ || !isRetryable(State.Reason_))
+    return Decision;
+  bool Unknown =
+      State.MayHaveRun_ || errorOutcome(State.Reason_) == Outcome::Unknown;
+  if (Unknown && !State.Repeatable_)
+    return Decision;
+  if (errorOutcome(State.Reason_) == Outcome::NotRun)
+    Decision.Final_ = ErrorCode::AttemptsExhausted;
+  if (State.Attempts_ >= Settings_.MaxAttempts_ ||
+      State.UnknownAttempts_ >= Settings_.MaxUnknown_ ||
+      Limit.forNextLevel(Now) == Duration::zero())
+    return Decision;
+  if (!Budget.take(Now)) {
+    Decision.DeniedByBudget_ = true;
+    return Decision;
+  }
+  Decision.Retry_ = true;
+  return Decision;
+}
+
+} // namespace marigold::calls
