Implement admission, adaptive limit, drain and target monitor

The queue estimates the wait from the mean latency and a request's own run from the lower quartile, so that a service with a few slow requests still queues its quick ones.

--- a/src/Admission/AdaptiveLimit.h
+++ b/src/Admission/AdaptiveLimit.h
@@ -33,8 +33,8 @@
 
   /// A run ended. Running: runs in progress before this one ended. Latency:
   /// time that the target took. Failed: the target failed because of load
-  /// (deadline exceeded, own shedding). A window in which the limit was not
-  /// reached updates the baseline only.
+  /// (deadline exceeded, own shedding). A window in which fewer than half of
+  /// the samples met a reached limit updates the baseline only.
   void onSample(Duration Latency, bool Failed, std::uint32_t Running,
                 TimePoint Now);
 
@@ -53,6 +53,7 @@
 
 private:
   void closeWindow();
+  void clearWindow();
 
   AdaptiveLimitSettings Settings_;
   std::uint32_t Slots_;
@@ -61,7 +62,7 @@
   Duration Sum_{};
   unsigned Samples_ = 0;
   unsigned Failures_ = 0;
-  bool Limited_ = false;
+  unsigned LimitedSamples_ = 0;
   TimePoint WindowStart_;
 };
 
--- /dev/null
+++ b/src/Admission/AdmissionControl.cpp
@@ -0,0 +1,227 @@
+#include "Admission/AdmissionControl.h"
+
+#include <algorithm>
+
+namespace marigold::admission {
+namespace {
+
+/// Reciprocal of the weight of a new latency in the estimates.
+constexpr int Smoothing = 16;
+
+std::size_t indexOf(Priority Value) { return static_cast<std::size_t>(Value); }
+
+} // namespace
+
+AdmissionControl::AdmissionControl(AdmissionSettings Settings)
+    : Settings_(Settings), Limit_(Settings.Slots_, Settings.AdaptiveSettings_) {
+  Settings_.Slots_ = std::max(Settings_.Slots_, 1U);
+}
+
+Submission AdmissionControl::submit(const CallTicket &Ticket, TimePoint Now) {
+  if (Draining_)
+    return {Admission::Refuse, ErrorCode::Draining, std::nullopt};
+  if (TargetDown_)
+    return {Admission::Refuse, ErrorCode::TargetDown, std::nullopt};
+  if (Ticket.Deadline_ <= Now)
+    return {Admission::Refuse, ErrorCode::DeadlineBeforeRun, std::nullopt};
+  if (running() < limit() && QueuedCount_ == 0) {
+    Running_.insert(Ticket.Id_);
+    return {Admission::Run, {}, std::nullopt};
+  }
+  if (waitIsTooLong(Ticket, Now))
+    return {Admission::Refuse, ErrorCode::QueueFull, std::nullopt};
+  Submission Result{Admission::Queue, {}, std::nullopt};
+  if (QueuedCount_ >= Settings_.Queue_) {
+    Result.Displaced_ = displaceBelow(Ticket.Priority_);
+    if (!Result.Displaced_)
+      return {Admission::Refuse, refusalOfFullQueue(Ticket.Priority_),
+              std::nullopt};
+  }
+  Queues_[indexOf(Ticket.Priority_)].push_back({Ticket.Id_, Ticket.Deadline_});
+  ++QueuedCount_;
+  return Result;
+}
+
+AdmissionActions AdmissionControl::finish(std::uint64_t Id,
+                                          const RunSample &Sample,
+                                          TimePoint Now) {
+  AdmissionActions Actions;
+  std::uint32_t Before = running();
+  if (Running_.erase(Id) == 0)
+    return Actions;
+  if (Sample.Measured_ && Sample.Latency_ >= Duration::zero()) {
+    if (Settings_.Adaptive_)
+      Limit_.onSample(Sample.Latency_, Sample.Overloaded_, Before, Now);
+    learnLatency(Sample.Latency_);
+  }
+  startQueued(Actions, Now);
+  return Actions;
+}
+
+AdmissionActions AdmissionControl::cancel(std::uint64_t Id, TimePoint Now) {
+  AdmissionActions Actions;
+  for (auto &Queue : Queues_) {
+    auto Position =
+        std::find_if(Queue.begin(), Queue.end(),
+                     [Id](const Waiting &Entry) { return Entry.Id_ == Id; });
+    if (Position == Queue.end())
+      continue;
+    Queue.erase(Position);
+    --QueuedCount_;
+    Actions.Refuse_.push_back({Id, ErrorCode::CancelledBeforeRun});
+    break;
+  }
+  startQueued(Actions, Now);
+  return Actions;
+}
+
+AdmissionActions AdmissionControl::expire(TimePoint Now) {
+  AdmissionActions Actions;
+  for (auto &Queue : Queues_)
+    std::erase_if(Queue, [&](const Waiting &Entry) {
+      if (Entry.Deadline_ > Now)
+        return false;
+      Actions.Refuse_.push_back({Entry.Id_, ErrorCode::DeadlineBeforeRun});
+      --QueuedCount_;
+      return true;
+    });
+  startQueued(Actions, Now);
+  return Actions;
+}
+
+AdmissionActions AdmissionControl::beginDrain(TimePoint) {
+  AdmissionActions Actions;
+  Draining_ = true;
+  refuseQueue(Actions, ErrorCode::Draining);
+  return Actions;
+}
+
+AdmissionActions AdmissionControl::targetDown(TimePoint) {
+  AdmissionActions Actions;
+  TargetDown_ = true;
+  refuseQueue(Actions, ErrorCode::TargetDown);
+  return Actions;
+}
+
+void AdmissionControl::targetUp() {
+  if (!TargetDown_)
+    return;
+  TargetDown_ = false;
+  Limit_.reset();
+  MeanLatency_ = Duration::zero();
+  QuickLatency_ = Duration::zero();
+}
+
+AdmissionActions AdmissionControl::configure(std::uint32_t Slots,
+                                             std::uint32_t Queue,
+                                             TimePoint Now) {
+  AdmissionActions Actions;
+  Settings_.Slots_ = std::max(Slots, 1U);
+  Settings_.Queue_ = Queue;
+  Limit_.setSlots(Settings_.Slots_);
+  startQueued(Actions, Now);
+  for (auto &Waiters : Queues_)
+    while (QueuedCount_ > Queue && !Waiters.empty()) {
+      Actions.Refuse_.push_back({Waiters.back().Id_, ErrorCode::Shed});
+      Waiters.pop_back();
+      --QueuedCount_;
+    }
+  return Actions;
+}
+
+TimePoint AdmissionControl::nextExpiry() const {
+  TimePoint Earliest = TimePoint::max();
+  for (const auto &Queue : Queues_)
+    for (const Waiting &Entry : Queue)
+      Earliest = std::min(Earliest, Entry.Deadline_);
+  return Earliest;
+}
+
+std::uint32_t AdmissionControl::limit() const {
+  return Settings_.Adaptive_ ? Limit_.limit() : Settings_.Slots_;
+}
+
+LoadReport AdmissionControl::load() const {
+  return {running(), QueuedCount_, limit()};
+}
+
+/// Updates the mean and, by stochastic approximation, the lower quartile. The
+/// quartile stands for a request's own run, so that a service with a few slow
+/// requests still queues its quick ones.
+void AdmissionControl::learnLatency(Duration Latency) {
+  if (MeanLatency_ == Duration::zero()) {
+    MeanLatency_ = QuickLatency_ = Latency;
+    return;
+  }
+  MeanLatency_ += (Latency - MeanLatency_) / Smoothing;
+  Duration Step = MeanLatency_ / Smoothing / 4;
+  QuickLatency_ += Latency < QuickLatency_ ? -3 * Step : Step;
+  QuickLatency_ = std::clamp(QuickLatency_, Duration::zero(), MeanLatency_);
+}
+
+/// Whether the answer of a request that joins the queue now would come after
+/// its deadline. The requests before it are those that are at least as
+/// important.
+bool AdmissionControl::waitIsTooLong(const CallTicket &Ticket,
+                                     TimePoint Now) const {
+  std::size_t Before = 1;
+  for (std::size_t Index = indexOf(Ticket.Priority_); Index < PriorityCount;
+       ++Index)
+    Before += Queues_[Index].size();
+  Duration Wait = MeanLatency_ * static_cast<std::int64_t>(Before) / limit();
+  return Now + Wait + QuickLatency_ > Ticket.Deadline_;
+}
+
+/// Removes the latest arrival of the lowest priority below Value.
+std::optional<RefusedTicket> AdmissionControl::displaceBelow(Priority Value) {
+  for (std::size_t Index = 0; Index < indexOf(Value); ++Index) {
+    auto &Queue = Queues_[Index];
+    if (Queue.empty())
+      continue;
+    RefusedTicket Displaced{Queue.back().Id_, ErrorCode::Shed};
+    Queue.pop_back();
+    --QueuedCount_;
+    return Displaced;
+  }
+  return std::nullopt;
+}
+
+/// Shed when only more important requests wait, QueueFull otherwise.
+ErrorCode AdmissionControl::refusalOfFullQueue(Priority Value) const {
+  bool SameWaits = !Queues_[indexOf(Value)].empty();
+  return QueuedCount_ > 0 && !SameWaits ? ErrorCode::Shed
+                                        : ErrorCode::QueueFull;
+}
+
+void AdmissionControl::startQueued(AdmissionActions &Actions, TimePoint Now) {
+  if (Draining_ || TargetDown_)
+    return;
+  for (std::size_t Index = PriorityCount; Index-- > 0;) {
+    auto &Queue = Queues_[Index];
+    while (!Queue.empty() && running() < limit()) {
+      Waiting Next = Queue.front();
+      Queue.pop_front();
+      --QueuedCount_;
+      // A run whose answer comes too late would take the slot of one whose
+      // answer is still wanted.
+      if (Next.Deadline_ <= Now + QuickLatency_) {
+        Actions.Refuse_.push_back({Next.Id_, ErrorCode::DeadlineBeforeRun});
+        continue;
+      }
+      Running_.insert(Next.Id_);
+      Actions.Start_.push_back(Next.Id_);
+    }
+  }
+}
+
+void AdmissionControl::refuseQueue(AdmissionActions &Actions,
+                                   ErrorCode Reason) {
+  for (auto &Queue : Queues_) {
+    for (const Waiting &Entry : Queue)
+      Actions.Refuse_.push_back({Entry.Id_, Reason});
+    Queue.clear();
+  }
+  QueuedCount_ = 0;
+}
+
+} // namespace marigold::admission
--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -9,7 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace marigold::admission {
@@ -143,8 +143,10 @@
     TimePoint Deadline_;
   };
 
+  void learnLatency(Duration Latency);
   bool waitIsTooLong(const CallTicket &Ticket, TimePoint Now) const;
   std::optional<RefusedTicket> displaceBelow(Priority Value);
+  ErrorCode refusalOfFullQueue(Priority Value) const;
   void startQueued(AdmissionActions &Actions, TimePoint Now);
   void refuseQueue(AdmissionActions &Actions, ErrorCode Reason);
 
@@ -152,10 +154,11 @@
   AdaptiveLimit Limit_;
   std::array<std::deque<Waiting>, PriorityCount> Queues_;
   std::uint32_t QueuedCount_ = 0;
-  /// Id and start of each running request.
-  std::unordered_map<std::uint64_t, TimePoint> Running_;
+  std::unordered_set<std::uint64_t> Running_;
   /// Moving average of measured latencies; zero before the first.
   Duration MeanLatency_{};
+  /// Lower quartile of measured latencies, the least time that a run takes.
+  Duration QuickLatency_{};
   bool Draining_ = false;
   bool TargetDown_ = false;
 };
--- /dev/null
+++ b/src/Admission/TargetMonitor.cpp
@@ -0,0 +1,36 @@
+#include "Admission/TargetMonitor.h"
+
+namespace marigold::admission {
+
+bool TargetMonitor::takeProbe(TimePoint Now) {
+  if (Up_ || Probing_ || Now < NextProbe_)
+    return false;
+  Probing_ = true;
+  return true;
+}
+
+bool TargetMonitor::onConnected() {
+  bool WasDown = !Up_;
+  Up_ = true;
+  Probing_ = false;
+  Retry_.reset();
+  return WasDown;
+}
+
+bool TargetMonitor::onConnectFailed(TimePoint Now, Random &Rng) {
+  bool WasUp = Up_;
+  // Several connections fail at the same time when the process is lost; only
+  // the first failure and each failed probe schedule the next probe.
+  if (!WasUp && !Probing_)
+    return false;
+  Up_ = false;
+  Probing_ = false;
+  NextProbe_ = Now + Retry_.next(Rng);
+  return WasUp;
+}
+
+TimePoint TargetMonitor::nextProbe() const {
+  return Up_ || Probing_ ? TimePoint::max() : NextProbe_;
+}
+
+} // namespace marigold::admission
