Implement host pools, subsets, strategies and outlier ejection

A run of bad answers ejects at most half of the hosts, since a shared cause is likely then; connection failures may eject all but one. A refusal with Draining counts for 30 s without a newer record, which undoes a wrong one.

--- a/src/Routing/OutlierDetector.h
+++ b/src/Routing/OutlierDetector.h
@@ -64,8 +64,8 @@
 
 /// Positions of the hosts to eject by their success ratio: the worst first, at
 /// most Allowed of them.
-std::vector<std::size_t> outliersByRatio(std::span<const OutlierRecord *const>,
-                                         const OutlierSettings &Settings,
-                                         std::size_t Allowed);
+std::vector<std::size_t>
+outliersByRatio(std::span<const OutlierRecord *const> Hosts,
+                const OutlierSettings &Settings, std::size_t Allowed);
 
 } // namespace marigold::routing
--- /dev/null
+++ b/src/Routing/Pool.cpp
@@ -0,0 +1,356 @@
+#include "Routing/Pool.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace marigold::routing {
+namespace {
+
+/// Smallest share of calls in slow start, so that a fresh host gets some.
+constexpr double FirstWeight = 0.1;
+
+/// Bounds of a host's latency relative to the typical one in the cost. They
+/// keep one extreme sample from deciding alone.
+constexpr double MinLatencyFactor = 0.5;
+constexpr double MaxLatencyFactor = 8;
+
+/// Time for which a refusal with Draining counts without a newer record. The
+/// record comes within seconds; the limit only undoes a wrong refusal.
+constexpr Duration DrainingMemory = std::chrono::seconds(30);
+
+/// Hosts that are ejected by ratio are at most one in this number.
+constexpr std::size_t RatioShare = 3;
+
+/// What the end of a call says about the host.
+enum class Evidence : std::uint8_t {
+  /// The host works.
+  Success,
+  /// The host answered badly or late; its dependencies or the request may be
+  /// the cause.
+  SoftFailure,
+  /// The host cannot be reached or lost the call.
+  HardFailure,
+  /// Nothing: the cause is load, the request or the caller.
+  Neutral,
+};
+
+Evidence evidenceOf(const CallSample &Sample) {
+  if (!Sample.Error_)
+    return Sample.ServerError_ ? Evidence::SoftFailure : Evidence::Success;
+  switch (*Sample.Error_) {
+  case ErrorCode::ConnectionFailed:
+  case ErrorCode::TargetDown:
+  case ErrorCode::TimedOut:
+  case ErrorCode::TargetLost:
+  case ErrorCode::NodeLost:
+  case ErrorCode::NotReady:
+  case ErrorCode::WrongService:
+    return Evidence::HardFailure;
+  case ErrorCode::DeadlineExceeded:
+  case ErrorCode::MalformedAnswer:
+    return Evidence::SoftFailure;
+  default:
+    return Evidence::Neutral;
+  }
+}
+
+bool takesCalls(HostState State) {
+  return State == HostState::Ready || State == HostState::Suspect;
+}
+
+/// Order of records of the same host, as in HostRecord's documentation.
+bool isNewer(const HostRecord &Left, const HostRecord &Right) {
+  return std::tie(Left.Incarnation_, Left.Sequence_, Left.State_) >
+         std::tie(Right.Incarnation_, Right.Sequence_, Right.State_);
+}
+
+} // namespace
+
+Pool::Pool(PoolSettings Settings, std::unique_ptr<ChoiceStrategy> Strategy)
+    : Settings_(std::move(Settings)), Strategy_(std::move(Strategy)) {}
+
+void Pool::setHosts(std::vector<HostRecord> Hosts, TimePoint Now) {
+  std::vector<HostRecord> Records;
+  std::vector<Entry> Entries;
+  std::unordered_map<HostId, std::size_t, HostIdHash> Positions;
+  for (HostRecord &Host : Hosts) {
+    auto [Position, Inserted] = Positions.try_emplace(Host.Id_, Records.size());
+    if (!Inserted)
+      continue;
+    auto Known = Positions_.find(Host.Id_);
+    Entry Fresh;
+    if (Known == Positions_.end()) {
+      if (Filled_)
+        Fresh.FreshSince_ = Now;
+    } else {
+      Fresh = std::move(Entries_[Known->second]);
+      merge(Records_[Known->second], Host, Fresh, Now);
+    }
+    Fresh.Locality_ = localityOf(Settings_.Own_, Host);
+    Entries.push_back(std::move(Fresh));
+    Records.push_back(std::move(Host));
+  }
+  Records_ = std::move(Records);
+  Entries_ = std::move(Entries);
+  Positions_ = std::move(Positions);
+  Filled_ = Filled_ || !Records_.empty();
+  rebuild(Now);
+}
+
+void Pool::updateHost(const HostRecord &Host, TimePoint Now) {
+  auto Known = Positions_.find(Host.Id_);
+  if (Known == Positions_.end()) {
+    Entry Fresh;
+    if (Filled_)
+      Fresh.FreshSince_ = Now;
+    Fresh.Locality_ = localityOf(Settings_.Own_, Host);
+    Positions_.emplace(Host.Id_, Records_.size());
+    Records_.push_back(Host);
+    Entries_.push_back(Fresh);
+    Filled_ = true;
+  } else {
+    HostRecord &Held = Records_[Known->second];
+    if (!isNewer(Host, Held))
+      return;
+    merge(Held, Host, Entries_[Known->second], Now);
+    Held = Host;
+    Entries_[Known->second].Locality_ = localityOf(Settings_.Own_, Host);
+  }
+  rebuild(Now);
+}
+
+void Pool::configure(std::uint32_t Slots, Duration SlowStart) {
+  Settings_.Slots_ = Slots;
+  Settings_.SlowStart_ = SlowStart;
+}
+
+Result<HostId> Pool::choose(const CallContext &Context, TimePoint Now,
+                            Random &Rng) {
+  Group Best = Group::None;
+  Candidates_.clear();
+  auto Consider = [&](std::size_t Index) {
+    Group Found = groupOf(Index, Now);
+    const HostId &Id = Records_[Index].Id_;
+    if (Found == Group::None || Found > Best ||
+        std::find(Context.Excluded_.begin(), Context.Excluded_.end(), Id) !=
+            Context.Excluded_.end())
+      return;
+    if (Found < Best)
+      Candidates_.clear();
+    Best = Found;
+    Candidates_.push_back(candidate(Index, Now));
+  };
+  for (std::size_t Index : Members_)
+    Consider(Index);
+  // Hosts outside the subset count only when the subset has no usable one.
+  if (Best != Group::Member)
+    for (std::size_t Index = 0; Index < Records_.size(); ++Index)
+      if (!Entries_[Index].Member_)
+        Consider(Index);
+  if (Candidates_.empty())
+    return fail(ErrorCode::NoTarget,
+                std::to_string(Records_.size()) + " hosts known, " +
+                    std::to_string(Context.Excluded_.size()) + " tried");
+  std::size_t Index = Candidates_[Strategy_->pick(Candidates_, Rng)].Index_;
+  Entries_[Index].Load_.onSent();
+  return Records_[Index].Id_;
+}
+
+bool Pool::startCall(HostId Id, TimePoint) {
+  auto Known = Positions_.find(Id);
+  if (Known == Positions_.end())
+    return false;
+  HostState State = Records_[Known->second].State_;
+  if (State == HostState::Dead || State == HostState::Gone)
+    return false;
+  Entries_[Known->second].Load_.onSent();
+  return true;
+}
+
+void Pool::onResult(HostId Id, const CallSample &Sample, TimePoint Now) {
+  auto Position = Positions_.find(Id);
+  if (Position == Positions_.end())
+    return;
+  Entry &Host = Entries_[Position->second];
+  Host.Load_.onEnded();
+  if (Sample.Load_)
+    Host.Load_.onReport(*Sample.Load_, Now);
+  if (!Sample.Error_ && !Sample.ServerError_) {
+    Host.Load_.onLatency(Sample.Latency_, Now);
+    TypicalLatency_ =
+        TypicalLatency_ == Duration::zero()
+            ? Sample.Latency_
+            : TypicalLatency_ + (Sample.Latency_ - TypicalLatency_) / 32;
+  }
+  if (Sample.Error_ == ErrorCode::Draining) {
+    bool Known = Host.refusedDraining(Now);
+    Host.DrainingUntil_ = Now + DrainingMemory;
+    if (!Known)
+      rebuild(Now);
+  }
+  Evidence Seen = evidenceOf(Sample);
+  if (Seen == Evidence::Success)
+    Host.Outliers_.onSuccess();
+  else if (Seen != Evidence::Neutral)
+    recordFailure(Position->second, Seen == Evidence::HardFailure, Now);
+  compareRatios(Now);
+}
+
+bool Pool::hasUsableHost(TimePoint Now) const {
+  for (std::size_t Index = 0; Index < Records_.size(); ++Index) {
+    Group Found = groupOf(Index, Now);
+    if (Found == Group::Member || Found == Group::Other)
+      return true;
+  }
+  return false;
+}
+
+std::vector<HostId> Pool::members() const {
+  std::vector<HostId> Ids;
+  for (std::size_t Index : Members_)
+    Ids.push_back(Records_[Index].Id_);
+  return Ids;
+}
+
+std::vector<HostView> Pool::view(TimePoint Now) const {
+  std::vector<HostView> Views;
+  for (std::size_t Index = 0; Index < Records_.size(); ++Index) {
+    const Entry &Host = Entries_[Index];
+    Views.push_back({Records_[Index].Id_,
+                     Host.refusedDraining(Now) ? HostState::Draining
+                                               : Records_[Index].State_,
+                     Host.Member_, Host.Outliers_.isEjected(Now),
+                     Host.Load_.outstanding(), weightOf(Host, Now)});
+  }
+  return Views;
+}
+
+Pool::Group Pool::groupOf(std::size_t Index, TimePoint Now) const {
+  const Entry &Host = Entries_[Index];
+  HostState State = Records_[Index].State_;
+  if (!takesCalls(State) || Host.refusedDraining(Now))
+    return Group::None;
+  if (State == HostState::Suspect || Host.Outliers_.isEjected(Now))
+    return Group::LastResort;
+  return Host.Member_ ? Group::Member : Group::Other;
+}
+
+double Pool::weightOf(const Entry &Host, TimePoint Now) const {
+  // A re-admitted host also starts slowly: its fault may not be over.
+  TimePoint Start = Host.Outliers_.ejectedUntil();
+  if (Host.FreshSince_)
+    Start = std::max(Start, *Host.FreshSince_);
+  if (Start == TimePoint() || Settings_.SlowStart_ <= Duration::zero())
+    return 1;
+  double Share = std::chrono::duration<double>(Now - Start) /
+                 std::chrono::duration<double>(Settings_.SlowStart_);
+  return std::clamp(Share, FirstWeight, 1.0);
+}
+
+Candidate Pool::candidate(std::size_t Index, TimePoint Now) const {
+  const Entry &Host = Entries_[Index];
+  Candidate Result;
+  Result.Index_ = Index;
+  Result.Locality_ = Host.Locality_;
+  Result.Weight_ = weightOf(Host, Now);
+  Result.Utilization_ = Host.Load_.utilization(Settings_.Slots_, Now);
+  double Factor = 1;
+  if (TypicalLatency_ > Duration::zero())
+    Factor = std::clamp(
+        static_cast<double>(Host.Load_.latency(TypicalLatency_, Now).count()) /
+            static_cast<double>(TypicalLatency_.count()),
+        MinLatencyFactor, MaxLatencyFactor);
+  // One more call on top of the present use, times the host's latency. A host
+  // that reports itself idle but answers slowly is still expensive.
+  double OneCall = 1.0 / std::max(Settings_.Slots_, 1U);
+  Result.Cost_ = (Result.Utilization_ + OneCall) * Factor;
+  return Result;
+}
+
+void Pool::rebuild(TimePoint Now) {
+  for (Entry &Host : Entries_)
+    Host.Member_ = false;
+  Members_ = chooseSubset(
+      Settings_.Own_, Records_, Settings_.Subset_, [&](std::size_t Index) {
+        return Entries_[Index].refusedDraining(Now) ? HostState::Draining
+                                                    : Records_[Index].State_;
+      });
+  for (std::size_t Index : Members_)
+    Entries_[Index].Member_ = true;
+}
+
+void Pool::merge(const HostRecord &Old, const HostRecord &New, Entry &Host,
+                 TimePoint Now) {
+  bool Restarted = New.Incarnation_ != Old.Incarnation_;
+  if (isNewer(New, Old))
+    Host.DrainingUntil_ = TimePoint();
+  if (Restarted) {
+    Host = Entry();
+    Host.FreshSince_ = Now;
+    return;
+  }
+  // A starting host's target is cold from the time at which it gets ready.
+  if (Old.State_ == HostState::Starting && New.State_ == HostState::Ready)
+    Host.FreshSince_ = Now;
+}
+
+void Pool::recordFailure(std::size_t Index, bool Hard, TimePoint Now) {
+  Entry &Host = Entries_[Index];
+  bool WasEjected = Host.Outliers_.isEjected(Now);
+  if (!Host.Outliers_.onFailure(Settings_.Outliers_) || WasEjected)
+    return;
+  std::size_t Usable = 0;
+  std::size_t Left = 0;
+  for (std::size_t Other = 0; Other < Records_.size(); ++Other) {
+    Group Found = groupOf(Other, Now);
+    Usable += Found <= Group::LastResort ? 1 : 0;
+    Left += Found <= Group::Other && Other != Index ? 1 : 0;
+  }
+  // The last host stays: a failing one is better than none. When many hosts
+  // answer badly, the cause is a shared one, and fewer hosts would only add
+  // overload to it.
+  if (Left >= (Hard ? 1 : std::max<std::size_t>(Usable / 2, 1)))
+    eject(Index, Now);
+}
+
+void Pool::compareRatios(TimePoint Now) {
+  if (!WindowStart_)
+    WindowStart_ = Now;
+  if (Now - *WindowStart_ < Settings_.Outliers_.Window_)
+    return;
+  WindowStart_ = Now;
+  std::vector<std::size_t> Compared;
+  std::vector<const OutlierRecord *> Hosts;
+  std::size_t Ejected = 0;
+  std::size_t Usable = 0;
+  for (std::size_t Index = 0; Index < Records_.size(); ++Index) {
+    if (!takesCalls(Records_[Index].State_))
+      continue;
+    ++Usable;
+    if (Entries_[Index].Outliers_.isEjected(Now)) {
+      ++Ejected;
+      continue;
+    }
+    Compared.push_back(Index);
+    Hosts.push_back(&Entries_[Index].Outliers_);
+  }
+  std::size_t Limit = Usable / RatioShare;
+  std::size_t Allowed = Limit > Ejected ? Limit - Ejected : 0;
+  std::vector<std::size_t> Outliers =
+      outliersByRatio(Hosts, Settings_.Outliers_, Allowed);
+  for (std::size_t Position : Outliers)
+    eject(Compared[Position], Now);
+  for (Entry &Host : Entries_)
+    Host.Outliers_.nextWindow(Settings_.Outliers_, Now);
+  rebuild(Now);
+}
+
+void Pool::eject(std::size_t Index, TimePoint Now) {
+  std::uint64_t Salt = mixHash(
+      mixHash(hashOf(Settings_.Own_.Self_), hashOf(Records_[Index].Id_)),
+      static_cast<std::uint64_t>(Now.time_since_epoch().count()));
+  Entries_[Index].Outliers_.eject(Settings_.Outliers_, Salt, Now);
+}
+
+} // namespace marigold::routing
--- a/src/Routing/Pool.h
+++ b/src/Routing/Pool.h
@@ -95,7 +95,8 @@
   bool startCall(HostId Id, TimePoint Now);
 
   /// A call ended. A refusal with Draining takes the host out of the choice
-  /// until its record changes. Hosts no longer in the pool are ignored.
+  /// until its record changes, or for 30 s. Hosts no longer in the pool are
+  /// ignored.
   void onResult(HostId Id, const CallSample &Sample, TimePoint Now);
 
   /// Whether a host could be chosen without use of suspect or ejected ones.
@@ -115,12 +116,14 @@
   struct Entry {
     Locality Locality_ = Locality::Remote;
     bool Member_ = false;
-    /// The host refused with Draining; cleared by a newer record.
-    bool RefusedDraining_ = false;
+    /// End of the effect of a refusal with Draining; a newer record clears it.
+    TimePoint DrainingUntil_;
     /// Start of slow start; nothing for hosts known from the beginning.
     std::optional<TimePoint> FreshSince_;
     HostLoad Load_;
     OutlierRecord Outliers_;
+
+    bool refusedDraining(TimePoint Now) const { return Now < DrainingUntil_; }
   };
 
   enum class Group : std::uint8_t { Member, Other, LastResort, None };
@@ -128,11 +131,11 @@
   Group groupOf(std::size_t Index, TimePoint Now) const;
   double weightOf(const Entry &Host, TimePoint Now) const;
   Candidate candidate(std::size_t Index, TimePoint Now) const;
-  void rebuild();
-  void merge(const HostRecord &Record, Entry &Host, bool Known, TimePoint Now);
-  void recordFailure(std::size_t Index, TimePoint Now);
+  void rebuild(TimePoint Now);
+  static void merge(const HostRecord &Old, const HostRecord &New, Entry &Host,
+                    TimePoint Now);
+  void recordFailure(std::size_t Index, bool Hard, TimePoint Now);
   void compareRatios(TimePoint Now);
-  std::size_t ejectedMembers(TimePoint Now) const;
   void eject(std::size_t Index, TimePoint Now);
 
   PoolSettings Settings_;
