Add the control plane of the node

ControlCore joins membership, distribution and source reads without sockets, clock or lock, so that its decisions can be tested alone. ControlPlane runs it under the control shard's lock and carries out the effects outside of it.

--- /dev/null
+++ b/src/Node/ControlPlane.cpp
@@ -0,0 +1,427 @@
+#include "Node/ControlPlane.h"
+
+#include "Node/NodeStatus.h"
+#include "Support/Addresses.h"
+#include "Support/Archive.h"
+#include "Support/Log.h"
+
+namespace marigold::node {
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
+constexpr Duration GaugeInterval = std::chrono::seconds(1);
+/// IPv4 and UDP headers.
+constexpr std::size_t DatagramOverhead = 28;
+/// Length and type of a frame, and the IP and TCP headers of its segment.
+constexpr std::size_t FrameOverhead = 5 + 52;
+/// IP and TCP headers of the segments that open and close a peer connection,
+/// and one Hello, in each direction.
+constexpr std::size_t ConnectionOverhead = 4 * 52 + 110;
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+std::string_view callText(distribution::SourceCall Call) {
+  switch (Call) {
+  case distribution::SourceCall::Keys:
+    return "keys";
+  case distribution::SourceCall::Text:
+    return "text";
+  case distribution::SourceCall::Hosts:
+    return "hosts";
+  }
+  return "invalid";
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(ControlPlaneParts Parts, const HostRecord &Own,
+                           std::uint64_t Seed, TimePoint Now)
+    : Parts_(Parts), Core_(Parts.Settings_, Own, Seed, Now), LastTick_(Now),
+      Socket_(Parts.Io_,
+              [this](const Address &From, std::string_view Data) {
+                onDatagram(From, Data);
+              }),
+      Source_(Parts.Io_, Parts.Settings_,
+              [this](distribution::SourceCall Call, const SourceBytes &Bytes) {
+                Parts_.Metrics_.add(Metric::SourceCallsTotal, 1,
+                                    callText(Call));
+                countSent(ControlTraffic::Source, Bytes.Sent_);
+                countReceived(ControlTraffic::Source, Bytes.Received_);
+              }),
+      Timer_(Parts.Io_), NextGauges_(Now) {}
+
+ControlPlane::~ControlPlane() = default;
+
+void ControlPlane::attach(
+    transport::PeerConnectionPool &Pool, transport::PeerServer &Server,
+    std::function<void(const CrashNotice &)> OnCrashNotice) {
+  Pool_ = &Pool;
+  Server_ = &Server;
+  OnCrashNotice_ = std::move(OnCrashNotice);
+}
+
+Result<void> ControlPlane::start() {
+  BOOST_OUTCOME_TRY(Socket_.open(Parts_.Settings_.PeerAddress_));
+  scheduleTick();
+  return success();
+}
+
+void ControlPlane::stop(bool Leaving) {
+  if (Leaving)
+    decide([](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+      Core.setOwnState(HostState::Gone, Now, Out);
+    });
+  Stopped_ = true;
+  Source_.stop();
+  Socket_.close();
+}
+
+template <class Decision> void ControlPlane::decide(Decision &&Decide) {
+  ControlEffects Effects;
+  std::vector<CrashNotice> Crashes;
+  std::shared_ptr<const config::Snapshot> Adopted;
+  {
+    std::lock_guard Lock(Mutex_);
+    Decide(Core_, now(), Effects);
+    Crashes = Core_.takeCrashNotices();
+    HostsGeneration_ = Core_.hostsGeneration();
+    Bootstrapped_ = Core_.isBootstrapped();
+    if (!Effects.Adopted_.empty())
+      Adopted = Core_.versions().current();
+  }
+  if (Adopted)
+    publish(std::move(Adopted));
+  perform(Effects);
+  for (const CrashNotice &Notice : Crashes)
+    OnCrashNotice_(Notice);
+}
+
+void ControlPlane::publish(std::shared_ptr<const config::Snapshot> Adopted) {
+  std::lock_guard Lock(SnapshotMutex_);
+  // Two threads may get here in the other order than they adopted.
+  if (!Snapshot_ || Snapshot_->version() < Adopted->version())
+    Snapshot_ = std::move(Adopted);
+}
+
+void ControlPlane::perform(const ControlEffects &Effects) {
+  for (const OutgoingDatagram &Datagram : Effects.Datagrams_) {
+    Socket_.send(toAddress(Datagram.To_), Datagram.Data_);
+    countSent(Datagram.Kind_, Datagram.Data_.size() + DatagramOverhead);
+  }
+  for (const HostId &Peer : Effects.Drops_)
+    Pool_->drop(Peer);
+  for (const HostStateNotice &Notice : Effects.Broadcasts_)
+    countSent(ControlTraffic::Notice, Server_->broadcast(Notice));
+  for (const OutgoingSync &Sync : Effects.Syncs_)
+    sendSync(Sync);
+  for (const auto &Action : Effects.Source_)
+    callSource(Action);
+  if (Effects.ReadAllHosts_)
+    readHosts(true);
+  report(Effects);
+}
+
+void ControlPlane::report(const ControlEffects &Effects) {
+  for (const AdoptedEvent &Event : Effects.Adopted_) {
+    Parts_.Metrics_.add(Metric::ConfigAdoptedTotal);
+    setLogVersion(Event.Version_);
+    logEvent(LogLevel::Info, "version_adopted",
+             {{"adopted", toText(Event.Version_)}});
+  }
+  for (const RefusedEvent &Event : Effects.Refused_) {
+    auto Reason = errorText(Event.Why_.Code_);
+    Parts_.Metrics_.add(Metric::ConfigRefusedTotal, 1, Reason);
+    logEvent(LogLevel::Warning, "version_refused",
+             {{"refused", toText(Event.Version_)},
+              {"reason", std::string(Reason)},
+              {"detail", Event.Why_.Detail_}});
+  }
+  for (const HostEvent &Event : Effects.Hosts_) {
+    if (Event.Own_ && Event.Record_.State_ == HostState::Suspect)
+      Parts_.Metrics_.add(Metric::SuspicionsTotal);
+    if (Event.Own_ && Event.Record_.State_ == HostState::Dead)
+      Parts_.Metrics_.add(Metric::DeathsTotal);
+    logEvent(LogLevel::Debug, "host_state",
+             {{"subject", toText(Event.Record_.Id_)},
+              {"state", std::string(toText(Event.Record_.State_))}});
+  }
+  for (bool SourceOnly : Effects.BootstrapDone_) {
+    if (SourceOnly)
+      Parts_.Metrics_.add(Metric::BootstrapSourceOnlyTotal);
+    logEvent(SourceOnly ? LogLevel::Warning : LogLevel::Info, "bootstrap_done",
+             {{"source_only", SourceOnly ? "true" : "false"}});
+  }
+  for (Duration Pause : Effects.Pauses_) {
+    auto Length = std::chrono::duration_cast<std::chrono::milliseconds>(Pause);
+    Parts_.Metrics_.add(Metric::PausesTotal);
+    logEvent(LogLevel::Warning, "process_paused",
+             {{"ms", std::to_string(Length.count())}});
+  }
+}
+
+void ControlPlane::sendSync(const OutgoingSync &Sync) {
+  HostId Peer = Sync.To_;
+  Pool_->get(Peer, [this, Peer, Request = Sync.Request_](
+                       Result<transport::PeerConnectionPtr> Connection) {
+    if (Stopped_)
+      return;
+    std::size_t Sent = 0;
+    Failure Why = fail(ErrorCode::ConnectionFailed, toText(Peer));
+    if (Connection)
+      Sent = Connection.value()->send(Request);
+    else
+      Why = Connection.error();
+    if (Sent != 0) {
+      countSent(ControlTraffic::Sync, Sent + FrameOverhead);
+      return;
+    }
+    // The pool may answer within the call that asks, under no lock of ours.
+    decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+      Core.onSyncFailed(Peer, Why, Now, Out);
+    });
+  });
+}
+
+void ControlPlane::callSource(const distribution::SourceAction &Action) {
+  if (const auto *Watch = std::get_if<distribution::WatchKeys>(&Action))
+    watchKeys(*Watch);
+  else if (std::holds_alternative<distribution::FetchText>(Action))
+    fetchText();
+  else
+    readHosts(false);
+}
+
+void ControlPlane::sourceFailed(distribution::SourceCall Call,
+                                const Failure &Why) {
+  Parts_.Metrics_.add(Metric::SourceErrorsTotal);
+  logEvent(LogLevel::Debug, "source_call_failed",
+           {{"call", std::string(callText(Call))},
+            {"reason", std::string(errorText(Why.Code_))}});
+  decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+    Core.onSourceFailure(Call, Now, Out);
+  });
+}
+
+void ControlPlane::watchKeys(const distribution::WatchKeys &Watch) {
+  Source_.watchKeys(
+      Watch.Index_, Watch.Wait_, [this](Result<std::uint64_t> Index) {
+        if (Stopped_)
+          return;
+        if (!Index) {
+          sourceFailed(distribution::SourceCall::Keys, Index.error());
+          return;
+        }
+        decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+          Core.onSourceKeys(Index.value(), Now, Out);
+        });
+      });
+}
+
+void ControlPlane::fetchText() {
+  Source_.fetchText([this](Result<SourceText> Text) {
+    if (Stopped_)
+      return;
+    if (!Text) {
+      sourceFailed(distribution::SourceCall::Text, Text.error());
+      return;
+    }
+    decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+      Core.onSourceText(Text.value(), Now, Out);
+    });
+  });
+}
+
+void ControlPlane::readHosts(bool All) {
+  Source_.readHosts(All, [this](Result<membership::HostList> List) {
+    if (Stopped_)
+      return;
+    if (!List) {
+      sourceFailed(distribution::SourceCall::Hosts, List.error());
+      return;
+    }
+    decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+      Core.onSourceHosts(List.value(), Now, Out);
+    });
+  });
+}
+
+void ControlPlane::onDatagram(const Address &, std::string_view Data) {
+  countReceived(ControlTraffic::Probe, Data.size() + DatagramOverhead);
+  Result<void> Outcome = success();
+  decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+    Outcome = Core.onDatagram(Data, Now, Out);
+  });
+  if (!Outcome)
+    Parts_.Metrics_.add(Metric::MessagesMalformedTotal);
+}
+
+void ControlPlane::scheduleTick() {
+  Timer_.expires_after(TickInterval);
+  Timer_.async_wait([this](const boost::system::error_code &Error) {
+    if (Error || Stopped_)
+      return;
+    TimePoint TickTime = now();
+    bool Trusted = true;
+    decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+      Core.tick(Now, Out);
+      Trusted = Core.isTrusted(Now);
+    });
+    Trusted_ = Trusted;
+    LastTick_ = TickTime;
+    if (TickTime >= NextGauges_) {
+      NextGauges_ = TickTime + GaugeInterval;
+      updateGauges(TickTime);
+    }
+    scheduleTick();
+  });
+}
+
+void ControlPlane::updateGauges(TimePoint Now) {
+  ConfigVersion Version;
+  std::chrono::milliseconds Age{};
+  std::array<std::size_t, HostStateCount> Counts{};
+  {
+    std::lock_guard Lock(Mutex_);
+    Version = Core_.versions().version();
+    Age = Core_.sourceAge(Now);
+    Counts = Core_.hosts().countByState();
+  }
+  Parts_.Metrics_.set(Metric::ConfigEpoch, Version.Epoch_);
+  Parts_.Metrics_.set(Metric::ConfigRevision,
+                      static_cast<std::int64_t>(Version.Revision_));
+  Parts_.Metrics_.set(Metric::ConfigSourceAgeSeconds, Age.count() / 1000);
+  for (std::uint8_t State = 0; State < HostStateCount; ++State)
+    Parts_.Metrics_.set(Metric::Hosts, static_cast<std::int64_t>(Counts[State]),
+                        toText(static_cast<HostState>(State)));
+}
+
+void ControlPlane::countSent(ControlTraffic Kind, std::size_t Bytes) {
+  Parts_.Metrics_.add(Metric::ControlSentBytesTotal,
+                      static_cast<std::int64_t>(Bytes), toText(Kind));
+}
+
+void ControlPlane::countReceived(ControlTraffic Kind, std::size_t Bytes) {
+  Parts_.Metrics_.add(Metric::ControlReceivedBytesTotal,
+                      static_cast<std::int64_t>(Bytes), toText(Kind));
+}
+
+std::string ControlPlane::statusJson(bool WithHosts) const {
+  std::lock_guard Lock(Mutex_);
+  return renderStatus(Core_, WithHosts, now());
+}
+
+std::shared_ptr<const config::Snapshot> ControlPlane::snapshot() const {
+  std::lock_guard Lock(SnapshotMutex_);
+  return Snapshot_;
+}
+
+std::uint64_t ControlPlane::hostsGeneration() const { return HostsGeneration_; }
+
+std::vector<HostRecord> ControlPlane::hostsOfService(std::string_view Service) {
+  std::vector<HostRecord> Records;
+  std::lock_guard Lock(Mutex_);
+  const auto &Table = Core_.hosts();
+  for (const HostId &Id : Table.hostsOfService(Service)) {
+    const auto *Entry = Table.find(Id);
+    if (!Entry)
+      continue;
+    Records.push_back(Entry->Record_);
+    // A suspicion must not hide that the host said it is leaving.
+    if (Entry->StatedState_ == HostState::Draining)
+      Records.back().State_ = HostState::Draining;
+  }
+  return Records;
+}
+
+CallGate ControlPlane::gate() const {
+  if (!Bootstrapped_)
+    return CallGate::Closed;
+  // A call may be read before the first tick after a pause.
+  bool Late = now() - LastTick_.load() > Parts_.Settings_.PauseThreshold_;
+  return Trusted_ && !Late ? CallGate::Open : CallGate::Held;
+}
+
+HostRecord ControlPlane::ownRecord() const {
+  std::lock_guard Lock(Mutex_);
+  return Core_.ownRecord();
+}
+
+void ControlPlane::reportHostFailure(const HostId &Peer) {
+  decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+    Core.reportHostFailure(Peer, Now, Out);
+  });
+}
+
+void ControlPlane::ownStateChanged(HostState State) {
+  decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+    Core.setOwnState(State, Now, Out);
+  });
+  logEvent(LogLevel::Info, "own_state",
+           {{"state", std::string(toText(State))}});
+}
+
+void ControlPlane::sendCrashNotice(const CrashNotice &Notice) {
+  decide([&](ControlCore &Core, TimePoint, ControlEffects &Out) {
+    Core.sendCrashNotice(Notice, Out);
+  });
+}
+
+void ControlPlane::onOpen(const transport::PeerConnectionPtr &Connection) {
+  countSent(ControlTraffic::Sync, ConnectionOverhead);
+  countReceived(ControlTraffic::Sync, ConnectionOverhead);
+  decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+    Core.onHello(Connection->peer(), Now, Out);
+  });
+}
+
+void ControlPlane::onClosed(const transport::PeerConnectionPtr &Connection,
+                            const Failure &Why) {
+  if (Stopped_)
+    return;
+  decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+    Core.onSyncFailed(Connection->peer().Id_, Why, Now, Out);
+  });
+}
+
+void ControlPlane::onSyncRequest(const transport::PeerConnectionPtr &Connection,
+                                 SyncRequest Request) {
+  countReceived(ControlTraffic::Sync,
+                encodeBody(Request).size() + FrameOverhead);
+  SyncReply Reply;
+  {
+    std::lock_guard Lock(Mutex_);
+    Reply = Core_.answer(Request, now());
+  }
+  countSent(ControlTraffic::Sync, Connection->send(Reply) + FrameOverhead);
+}
+
+void ControlPlane::onSyncReply(const transport::PeerConnectionPtr &Connection,
+                               SyncReply Reply) {
+  countReceived(ControlTraffic::Sync, encodeBody(Reply).size() + FrameOverhead);
+  std::vector<HostExchange> Exchanges;
+  decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+    Exchanges = Core.onSyncReply(Connection->peer().Id_, Reply, Now, Out);
+  });
+  for (const HostExchange &Exchange : Exchanges)
+    countSent(ControlTraffic::Sync, Connection->send(Exchange) + FrameOverhead);
+}
+
+void ControlPlane::onHostExchange(const transport::PeerConnectionPtr &,
+                                  HostExchange Exchange) {
+  countReceived(ControlTraffic::Sync,
+                encodeBody(Exchange).size() + FrameOverhead);
+  decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+    Core.onHostExchange(Exchange, Now, Out);
+  });
+}
+
+void ControlPlane::onHostStateNotice(const transport::PeerConnectionPtr &,
+                                     HostStateNotice Notice) {
+  countReceived(ControlTraffic::Notice,
+                encodeBody(Notice).size() + FrameOverhead);
+  decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+    Core.onNotice(Notice, Now, Out);
+  });
+}
+
+} // namespace marigold::node
--- /dev/null
+++ b/src/Node/SourceClient.cpp
@@ -0,0 +1,247 @@
+#include "Node/SourceClient.h"
+
+#include "Config/TextParser.h"
+#include "Support/Addresses.h"
+#include "Transport/HttpGet.h"
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+namespace marigold::node {
+namespace {
+
+/// Margin on the wait of a blocking read before the call counts as failed.
+constexpr Duration WatchMargin = std::chrono::seconds(3);
+/// Time for a read that does not wait.
+constexpr Duration ReadTimeout = std::chrono::seconds(5);
+/// IP and TCP headers with options of the segments that open and close a
+/// connection and acknowledge one answer, in each direction.
+constexpr std::uint64_t ConnectionOverhead = 5 * 52;
+/// Payload of a full segment, for the headers of long answers.
+constexpr std::uint64_t SegmentPayload = 1448;
+constexpr std::uint64_t SegmentOverhead = 52;
+constexpr unsigned NotFound = 404;
+
+std::string percentEncode(std::string_view Text) {
+  static constexpr std::string_view Digits = "0123456789ABCDEF";
+  std::string Encoded;
+  for (char Character : Text) {
+    auto Byte = static_cast<unsigned char>(Character);
+    if (std::isalnum(Byte) || Byte == '-' || Byte == '.' || Byte == '_') {
+      Encoded += Character;
+      continue;
+    }
+    Encoded += '%';
+    Encoded += Digits[Byte >> 4];
+    Encoded += Digits[Byte & 15];
+  }
+  return Encoded;
+}
+
+std::string metaText(const nlohmann::json &Meta, const char *Key) {
+  auto Position = Meta.find(Key);
+  if (Position == Meta.end() || !Position->is_string())
+    return {};
+  return Position->get<std::string>();
+}
+
+Result<std::uint16_t> metaPort(const nlohmann::json &Meta, const char *Key) {
+  BOOST_OUTCOME_TRY(auto Port, parseNumber(metaText(Meta, Key), 65535));
+  return static_cast<std::uint16_t>(Port);
+}
+
+Result<membership::ListedHost> parseListedHost(const nlohmann::json &Node) {
+  if (!Node.is_object() || !Node.contains("Address") ||
+      !Node["Address"].is_string() || !Node.contains("Meta") ||
+      !Node["Meta"].is_object())
+    return fail(ErrorCode::SourceMalformed, "host without Address or Meta");
+  const auto &Meta = Node["Meta"];
+  membership::ListedHost Host;
+  BOOST_OUTCOME_TRY(auto Peer, parseAddress(Node["Address"].get<std::string>() +
+                                            ":" + metaText(Meta, "peer_port")));
+  BOOST_OUTCOME_TRY(auto CallerPort, metaPort(Meta, "caller_port"));
+  BOOST_OUTCOME_TRY(auto AdminPort, metaPort(Meta, "admin_port"));
+  Host.Record_.Id_ = toHostId(Peer);
+  Host.Record_.CallerPort_ = CallerPort;
+  Host.Record_.AdminPort_ = AdminPort;
+  Host.Record_.Service_ = metaText(Meta, "service");
+  Host.Record_.FailureDomain_ = metaText(Meta, "failure_domain");
+  Host.Record_.Region_ = metaText(Meta, "region");
+  Host.Leaving_ = metaText(Meta, "state") == "leaving";
+  return Host;
+}
+
+} // namespace
+
+Result<std::vector<membership::ListedHost>>
+parseHostList(std::string_view Json) {
+  auto Root = nlohmann::json::parse(Json, nullptr, false);
+  if (!Root.is_array())
+    return fail(ErrorCode::SourceMalformed, "host list is not a JSON array");
+  std::vector<membership::ListedHost> Hosts;
+  for (const auto &Node : Root)
+    if (auto Host = parseListedHost(Node))
+      Hosts.push_back(std::move(Host.value()));
+  return Hosts;
+}
+
+SourceText readSourceText(std::string_view Text, std::uint64_t Index,
+                          const NodeSettings &Settings) {
+  SourceText Answer;
+  Answer.Index_ = Index;
+  auto Model = config::parseText(Text, Settings.SourceKey_);
+  if (!Model) {
+    const auto &First = Model.error().front();
+    Answer.Refused_ = fail(First.Code_, config::toText(First));
+    return Answer;
+  }
+  if (Model.value().Mesh_ != Settings.Mesh_) {
+    Answer.Refused_ =
+        fail(ErrorCode::SnapshotInvalid, "text of mesh " + Model.value().Mesh_);
+    return Answer;
+  }
+  ConfigVersion Version{Model.value().Epoch_, Index};
+  Answer.Snapshot_ = config::buildSnapshot(std::move(Model.value()), Version);
+  return Answer;
+}
+
+/// State that outlives the client while calls are under way.
+struct SourceClient::Shared {
+  SourceCallObserver Observer_;
+  std::mutex Mutex_;
+  std::uint64_t NextCall_ = 0;
+  std::map<std::uint64_t, transport::HttpGetCancel> Cancels_;
+  bool Stopped_ = false;
+};
+
+SourceClient::SourceClient(boost::asio::io_context &Io,
+                           const NodeSettings &Settings,
+                           SourceCallObserver Observer)
+    : Io_(Io), Settings_(Settings), Shared_(std::make_shared<Shared>()) {
+  Shared_->Observer_ = std::move(Observer);
+}
+
+void SourceClient::get(distribution::SourceCall Call, std::string Target,
+                       Duration Timeout, BodyCallback Done) {
+  transport::HttpGetRequest Request;
+  Request.Server_ = Settings_.SourceAddress_;
+  Request.Target_ = std::move(Target);
+  Request.Timeout_ = Timeout;
+  auto State = Shared_;
+  std::lock_guard Lock(State->Mutex_);
+  if (State->Stopped_)
+    return;
+  std::uint64_t Number = State->NextCall_++;
+  auto Finish = [State, Call, Number, Done = std::move(Done)](
+                    Result<transport::HttpGetResponse> Answer) {
+    {
+      std::lock_guard FinishLock(State->Mutex_);
+      State->Cancels_.erase(Number);
+    }
+    SourceBytes Bytes{ConnectionOverhead, ConnectionOverhead};
+    if (!Answer) {
+      State->Observer_(Call, Bytes);
+      Done(std::move(Answer.error()));
+      return;
+    }
+    auto &Response = Answer.value().Response_;
+    Bytes.Sent_ += Answer.value().SentBytes_;
+    Bytes.Received_ +=
+        Answer.value().ReceivedBytes_ +
+        Answer.value().ReceivedBytes_ / SegmentPayload * SegmentOverhead;
+    State->Observer_(Call, Bytes);
+    auto Index =
+        parseNumber(transport::findHeader(Response.Headers_, "x-consul-index"),
+                    ~std::uint64_t(0));
+    if (Response.Status_ == NotFound && Index) {
+      Done(std::make_pair(Index.value(), std::string()));
+      return;
+    }
+    if (Response.Status_ != 200) {
+      Done(fail(ErrorCode::SourceError,
+                "status " + std::to_string(Response.Status_)));
+      return;
+    }
+    // The host list needs no index.
+    Done(std::make_pair(Index ? Index.value() : 0, std::move(Response.Body_)));
+  };
+  State->Cancels_[Number] =
+      transport::httpGet(Io_, std::move(Request), std::move(Finish));
+}
+
+void SourceClient::watchKeys(std::uint64_t Index,
+                             std::chrono::milliseconds Wait,
+                             std::function<void(Result<std::uint64_t>)> Done) {
+  std::string Target = "/v1/kv/" + Settings_.SourceKey_ + "?keys";
+  if (Index != 0)
+    Target += "&index=" + std::to_string(Index) +
+              "&wait=" + std::to_string(Wait.count()) + "ms";
+  get(distribution::SourceCall::Keys, std::move(Target), Wait + WatchMargin,
+      [Done = std::move(Done)](auto Answer) {
+        if (!Answer)
+          Done(std::move(Answer.error()));
+        else if (Answer.value().first == 0)
+          Done(fail(ErrorCode::SourceMalformed, "no X-Consul-Index"));
+        else
+          Done(Answer.value().first);
+      });
+}
+
+void SourceClient::fetchText(std::function<void(Result<SourceText>)> Done) {
+  const NodeSettings &Settings = Settings_;
+  get(distribution::SourceCall::Text, "/v1/kv/" + Settings_.SourceKey_ + "?raw",
+      ReadTimeout, [Done = std::move(Done), &Settings](auto Answer) {
+        if (!Answer) {
+          Done(std::move(Answer.error()));
+          return;
+        }
+        auto &[Index, Text] = Answer.value();
+        if (Index == 0) {
+          Done(fail(ErrorCode::SourceMalformed, "no X-Consul-Index"));
+          return;
+        }
+        if (Text.empty()) {
+          SourceText Missing;
+          Missing.Index_ = Index;
+          Missing.Missing_ = true;
+          Done(std::move(Missing));
+          return;
+        }
+        Done(readSourceText(Text, Index, Settings));
+      });
+}
+
+void SourceClient::readHosts(
+    bool All, std::function<void(Result<membership::HostList>)> Done) {
+  std::string Target = "/v1/catalog/nodes";
+  if (!All)
+    Target += "?filter=" + percentEncode("Meta.failure_domain==\"" +
+                                         Settings_.FailureDomain_ + "\"");
+  TimePoint ReadAt = std::chrono::steady_clock::now();
+  get(distribution::SourceCall::Hosts, std::move(Target), ReadTimeout,
+      [Done = std::move(Done), ReadAt](auto Answer) {
+        if (!Answer) {
+          Done(std::move(Answer.error()));
+          return;
+        }
+        auto Hosts = parseHostList(Answer.value().second);
+        if (!Hosts) {
+          Done(std::move(Hosts.error()));
+          return;
+        }
+        Done(membership::HostList{std::move(Hosts.value()), ReadAt});
+      });
+}
+
+void SourceClient::stop() {
+  std::map<std::uint64_t, transport::HttpGetCancel> Cancels;
+  {
+    std::lock_guard Lock(Shared_->Mutex_);
+    Shared_->Stopped_ = true;
+    Cancels.swap(Shared_->Cancels_);
+  }
+  for (const auto &[Number, Cancel] : Cancels)
+    Cancel();
+}
+
+} // namespace marigold::node
