--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -116,11 +116,10 @@
     Signals_.async_wait([this](const boost::system::error_code &Error, int) {
       if (Error)
         return;
-      if (DrainStarted_.exchange(true)) {
+      if (DrainStarted_) {
         Io_.stop();
         return;
       }
-      DrainStarted_ = false;
       drain("signal");
       waitForSignal();
     });
