Add host table, failure detector, version store and source reader

The membership module merges host records, probes in shuffled rounds with indirect probes, and lets a suspect refute before it is declared dead. The distribution module adopts only greater, whole and valid versions and decides who reads the source.

--- a/src/Distribution/Bootstrap.h
+++ b/src/Distribution/Bootstrap.h
@@ -5,7 +5,7 @@
 #include "Support/Random.h"
 
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -50,10 +50,14 @@
   /// Answers that are enough, and the failure domains they come from.
   std::size_t Answers_ = 3;
   std::size_t FailureDomains_ = 2;
-  /// Time between two rounds of questions to peers that have not answered
-  /// with a version. Doubles as the wait for a pull.
+  /// Time between two rounds of questions during the grace, and afterwards.
   Duration AskInterval_ = std::chrono::milliseconds(250);
+  Duration LaterAskInterval_ = std::chrono::seconds(1);
+  /// Longest wait for a pull.
   Duration PullTimeout_ = std::chrono::seconds(2);
+  /// Time after its last answer for which a peer counts as reachable. While a
+  /// reachable peer holds a version, no lower one is taken from the source.
+  Duration Reachable_ = std::chrono::seconds(4);
   /// First and highest ceiling of the delay after a failed read.
   Duration FirstBackoff_ = std::chrono::milliseconds(500);
   Duration MaxBackoff_ = std::chrono::seconds(30);
@@ -91,7 +95,7 @@
 
 private:
   struct PeerState {
-    bool Answered_ = false;
+    std::optional<TimePoint> AnsweredAt_;
     std::string FailureDomain_;
     ConfigVersion Version_;
     bool PullFailed_ = false;
@@ -99,7 +103,10 @@
 
   bool peersAsked(TimePoint Now) const;
   bool enoughAnswers() const;
-  const std::pair<const HostId, PeerState> *bestPeer() const;
+  bool isReachable(const PeerState &Peer, TimePoint Now) const;
+  ConfigVersion highestOfPeers(TimePoint Now) const;
+  std::optional<HostId> pullCandidate(TimePoint Now) const;
+  bool adoptFromSource(TimePoint Now);
   void askPeers(TimePoint Now, BootstrapActions &Out);
   void planSource(TimePoint Now, BootstrapActions &Out);
 
--- /dev/null
+++ b/src/Distribution/ReaderRanking.cpp
@@ -0,0 +1,53 @@
+#include "Distribution/ReaderRanking.h"
+
+#include <algorithm>
+
+namespace marigold::distribution {
+namespace {
+
+// Separates the ranking of readers from the order of their fetches.
+constexpr std::uint64_t ReaderSeed = 0x7265616465727321;
+
+void sortByHash(std::vector<HostId> &Hosts, std::uint64_t Seed) {
+  std::vector<std::pair<std::uint64_t, HostId>> Ranked;
+  Ranked.reserve(Hosts.size());
+  for (const HostId &Id : Hosts)
+    Ranked.emplace_back(mixHash(hashOf(Id), Seed), Id);
+  std::sort(Ranked.begin(), Ranked.end());
+  for (std::size_t I = 0; I < Hosts.size(); ++I)
+    Hosts[I] = Ranked[I].second;
+}
+
+} // namespace
+
+std::vector<HostId> readersOf(const membership::HostTable &Table,
+                              std::string_view FailureDomain, const HostId &Own,
+                              std::size_t Count) {
+  std::vector<HostId> Hosts;
+  for (const HostId &Id : Table.hostsOfFailureDomain(FailureDomain)) {
+    HostState State = Table.find(Id)->Record_.State_;
+    if (Id == Own || State == HostState::Ready || State == HostState::Draining)
+      Hosts.push_back(Id);
+  }
+  sortByHash(Hosts, ReaderSeed);
+  if (Hosts.size() > Count)
+    Hosts.resize(Count);
+  return Hosts;
+}
+
+std::optional<std::size_t> fetchPosition(const membership::HostTable &Table,
+                                         const HostId &Own, std::uint64_t Index,
+                                         std::size_t Count) {
+  std::vector<HostId> Readers;
+  for (const std::string &Name : Table.failureDomains()) {
+    std::vector<HostId> Local = readersOf(Table, Name, Own, Count);
+    Readers.insert(Readers.end(), Local.begin(), Local.end());
+  }
+  sortByHash(Readers, Index);
+  auto Found = std::find(Readers.begin(), Readers.end(), Own);
+  if (Found == Readers.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(Found - Readers.begin());
+}
+
+} // namespace marigold::distribution
--- /dev/null
+++ b/src/Distribution/SourceReader.cpp
@@ -0,0 +1,176 @@
+#include "Distribution/SourceReader.h"
+
+#include "Distribution/ReaderRanking.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigold::distribution {
+namespace {
+
+constexpr Duration TakeoverDraw = std::chrono::seconds(1);
+
+// A node that is no reader fetches behind about as many readers.
+constexpr int TakeoverSteps = 8;
+
+} // namespace
+
+SourceReader::SourceReader(const membership::HostTable &Table,
+                           const VersionStore &Store,
+                           SourceConfirmation &Confirmation, const HostId &Own,
+                           std::string FailureDomain,
+                           SourceReaderOptions Options, Random Rng,
+                           TimePoint Now)
+    : Table_(Table), Store_(Store), Confirmation_(Confirmation), Own_(Own),
+      FailureDomain_(std::move(FailureDomain)), Options_(Options),
+      Rng_(std::move(Rng)),
+      Backoff_(Options.FirstBackoff_, Options.MaxBackoff_),
+      RoleFrom_(Now + Options.RestartSpread_ / 2 +
+                Rng_.upTo(Options.RestartSpread_ / 2)),
+      NotBefore_(Now), NextWatch_(Now), NextHosts_(Now),
+      NextTakeoverDraw_(RoleFrom_ + Rng_.upTo(TakeoverDraw)) {}
+
+SourceActions SourceReader::tick(TimePoint Now) {
+  SourceActions Out;
+  if (Now < RoleFrom_ || Now < NotBefore_)
+    return Out;
+  bool Reader = isReader(Now);
+  watch(Reader, Now, Out);
+  fetch(Now, Out);
+  if (Reader)
+    readHosts(Now, Out);
+  return Out;
+}
+
+void SourceReader::watch(bool Reader, TimePoint Now, SourceActions &Out) {
+  if (WatchRunning_ || Now < NextWatch_)
+    return;
+  bool TakeOver = !Reader && takesOver(Now);
+  if (!Reader && !TakeOver)
+    return;
+  std::chrono::milliseconds Wait = Options_.Wait_;
+  if (Options_.Mode_ == SourceMode::Peers)
+    Wait = std::min(Wait, Options_.ConfirmWait_);
+  // Readers that started together drift apart.
+  Wait -= std::chrono::milliseconds(
+      Rng_.below(static_cast<std::uint64_t>(Wait.count()) / 4));
+  WatchRunning_ = true;
+  NextWatch_ = Now + Options_.WatchGap_;
+  Out.push_back(WatchKeys{TakeOver ? 0 : SeenIndex_, Wait});
+}
+
+void SourceReader::fetch(TimePoint Now, SourceActions &Out) {
+  if (!FetchAt_ || FetchRunning_ || Now < *FetchAt_)
+    return;
+  if (isHandled(SeenIndex_)) {
+    FetchAt_.reset();
+    return;
+  }
+  FetchRunning_ = true;
+  FetchIndex_ = SeenIndex_;
+  Out.push_back(FetchText{});
+}
+
+void SourceReader::readHosts(TimePoint Now, SourceActions &Out) {
+  if (HostsRunning_ || Now < NextHosts_)
+    return;
+  HostsRunning_ = true;
+  NextHosts_ =
+      Now + Options_.HostsInterval_ / 2 + Rng_.upTo(Options_.HostsInterval_);
+  Out.push_back(ReadHosts{});
+}
+
+void SourceReader::onKeys(std::uint64_t Index, TimePoint Now) {
+  WatchRunning_ = false;
+  Backoff_.reset();
+  Confirmation_.confirm(Now);
+  std::uint64_t Highest = std::max(SeenIndex_, Store_.version().Revision_);
+  if (Index < Highest && Index != SeenIndex_) {
+    ++IndexFalls_;
+    Agreed_ = false;
+  }
+  SeenIndex_ = Index;
+  planFetch(Now);
+}
+
+void SourceReader::onText(std::uint64_t Index, TimePoint Now) {
+  FetchRunning_ = false;
+  FetchAt_.reset();
+  Backoff_.reset();
+  Confirmation_.confirm(Now);
+  Agreed_ = Index >= Store_.version().Revision_;
+  // A watch that was answered during the fetch has its own text, unless the
+  // fetch already returned that one.
+  HandledIndex_ = Index == SeenIndex_ ? Index : FetchIndex_;
+  planFetch(Now);
+}
+
+void SourceReader::onHosts(TimePoint Now) {
+  HostsRunning_ = false;
+  Confirmation_.confirm(Now);
+}
+
+void SourceReader::onFailure(SourceCall Call, TimePoint Now) {
+  if (Call == SourceCall::Keys)
+    WatchRunning_ = false;
+  if (Call == SourceCall::Text)
+    FetchRunning_ = false;
+  if (Call == SourceCall::Hosts)
+    HostsRunning_ = false;
+  NotBefore_ = Now + Backoff_.next(Rng_);
+}
+
+bool SourceReader::isReader(TimePoint Now) const {
+  if (Now < RoleFrom_)
+    return false;
+  if (Options_.Mode_ == SourceMode::EveryNode)
+    return true;
+  if (RoleGeneration_ != Table_.generation()) {
+    RoleGeneration_ = Table_.generation();
+    std::vector<HostId> Readers =
+        readersOf(Table_, FailureDomain_, Own_, Options_.Readers_);
+    Role_ = std::find(Readers.begin(), Readers.end(), Own_) != Readers.end();
+  }
+  return Role_;
+}
+
+bool SourceReader::isHandled(std::uint64_t Index) const {
+  if (Index == HandledIndex_)
+    return true;
+  if (!Agreed_ || Options_.Mode_ == SourceMode::EveryNode)
+    return false;
+  return Store_.version().Revision_ >= Index || Store_.isRefused(Index);
+}
+
+bool SourceReader::takesOver(TimePoint Now) {
+  if (Now < NextTakeoverDraw_)
+    return false;
+  NextTakeoverDraw_ = Now + TakeoverDraw;
+  Duration Overdue = Confirmation_.age(Now) - Options_.StaleAfter_;
+  if (Overdue < Duration(0))
+    return false;
+  double Doublings = std::chrono::duration<double>(Overdue) /
+                     std::chrono::duration<double>(Options_.TakeoverDoubling_);
+  double Expected = std::min(std::exp2(Doublings), Options_.TakeoverLimit_);
+  double Hosts =
+      static_cast<double>(std::max<std::size_t>(1, Table_.liveCount()));
+  if (!Rng_.chance(Expected / Hosts))
+    return false;
+  ++Takeovers_;
+  return true;
+}
+
+void SourceReader::planFetch(TimePoint Now) {
+  if (FetchAt_ || FetchRunning_ || isHandled(SeenIndex_))
+    return;
+  if (Options_.Mode_ == SourceMode::EveryNode) {
+    FetchAt_ = Now;
+    return;
+  }
+  std::optional<std::size_t> Position =
+      fetchPosition(Table_, Own_, SeenIndex_, Options_.Readers_);
+  FetchAt_ = Now + (Position ? static_cast<int>(*Position) * Options_.FetchStep_
+                             : Rng_.upTo(TakeoverSteps * Options_.FetchStep_));
+}
+
+} // namespace marigold::distribution
--- a/src/Distribution/SourceReader.h
+++ b/src/Distribution/SourceReader.h
@@ -71,6 +71,9 @@
   /// Highest expected number of such reads per second in the whole fleet;
   /// bounds the load of a source that comes back after an outage.
   double TakeoverLimit_ = 50;
+  /// Shortest time between two watches, so that a source that answers at once
+  /// is not called in a loop.
+  Duration WatchGap_ = std::chrono::milliseconds(200);
   /// First and highest ceiling of the delay after a failed call.
   Duration FirstBackoff_ = std::chrono::milliseconds(500);
   Duration MaxBackoff_ = std::chrono::seconds(30);
@@ -117,7 +120,9 @@
   bool isHandled(std::uint64_t Index) const;
   bool takesOver(TimePoint Now);
   void planFetch(TimePoint Now);
-  void planWatch(bool Reader, TimePoint Now, SourceActions &Out);
+  void fetch(TimePoint Now, SourceActions &Out);
+  void watch(bool Reader, TimePoint Now, SourceActions &Out);
+  void readHosts(TimePoint Now, SourceActions &Out);
 
   const membership::HostTable &Table_;
   const VersionStore &Store_;
@@ -130,18 +135,22 @@
 
   TimePoint RoleFrom_;
   TimePoint NotBefore_;
+  TimePoint NextWatch_;
   TimePoint NextHosts_;
   TimePoint NextTakeoverDraw_;
   bool WatchRunning_ = false;
   bool FetchRunning_ = false;
   bool HostsRunning_ = false;
   std::optional<TimePoint> FetchAt_;
-  // Index of the latest answer, and the latest one whose text was handled.
+  // Index of the latest watch, index of the watch whose text is being fetched,
+  // and index of the latest watch whose text was handled.
   std::uint64_t SeenIndex_ = 0;
+  std::uint64_t FetchIndex_ = 0;
   std::uint64_t HandledIndex_ = 0;
-  // Whether the index fell since the last handled text: then only the text
-  // can tell, by its epoch, whether it is newer.
-  bool Fell_ = false;
+  // Whether the source's index is known to continue the held version's. It is
+  // not at the start and after the index fell: the source may have lost its
+  // history and reuse numbers, and only the text's epoch can tell.
+  bool Agreed_ = false;
   std::uint64_t IndexFalls_ = 0;
   std::uint64_t Takeovers_ = 0;
   // Role as of a generation of the host table; computing it hashes each host
--- /dev/null
+++ b/src/Distribution/VersionStore.cpp
@@ -0,0 +1,162 @@
+#include "Distribution/VersionStore.h"
+
+#include "Support/Addresses.h"
+
+#include <algorithm>
+
+namespace marigold::distribution {
+
+Result<void> VersionStore::checkOrder(const ConfigVersion &Version,
+                                      const Digest128 &Digest) {
+  if (Version > version())
+    return success();
+  std::string Detail =
+      toText(Version) + " offered, " + toText(version()) + " held";
+  if (Version < version()) {
+    ++Counts_.Older_;
+    return fail(ErrorCode::VersionOlder, Detail);
+  }
+  if (Current_ && Digest != Current_->digest()) {
+    ++Counts_.Conflicting_;
+    return fail(ErrorCode::VersionConflict, Detail);
+  }
+  return fail(ErrorCode::VersionCurrent, Detail);
+}
+
+Result<void> VersionStore::offer(const config::SnapshotPointer &Offered,
+                                 TimePoint Now) {
+  if (!Offered)
+    return fail(ErrorCode::SnapshotInvalid, "no snapshot");
+  BOOST_OUTCOME_TRY(checkOrder(Offered->version(), Offered->digest()));
+  Result<void> Valid = config::validateSnapshot(*Offered);
+  if (!Valid) {
+    ++Counts_.Invalid_;
+    return Valid;
+  }
+  adopt(Offered, Now);
+  return success();
+}
+
+Result<void>
+VersionStore::offerFromSource(const config::SnapshotPointer &Offered,
+                              TimePoint Now) {
+  Result<void> Outcome = offer(Offered, Now);
+  if (!Outcome && Offered && Outcome.error().Code_ != ErrorCode::VersionCurrent)
+    refuse({Offered->version(),
+            static_cast<std::uint16_t>(Outcome.error().Code_)});
+  return Outcome;
+}
+
+Result<void> VersionStore::offerReply(const SyncReply &Reply, TimePoint Now) {
+  if (Reply.Kind_ == SyncKind::Unchanged)
+    return fail(ErrorCode::VersionCurrent, "answered as unchanged");
+  bool IsDelta = Reply.Kind_ == SyncKind::Delta;
+  BOOST_OUTCOME_TRY(
+      checkOrder(IsDelta ? Reply.Delta_.Version_ : Reply.Image_.Version_,
+                 IsDelta ? Reply.Delta_.Digest_ : Reply.Image_.Digest_));
+  if (IsDelta && !Current_) {
+    ++Counts_.Invalid_;
+    return fail(ErrorCode::DeltaBaseMismatch, "no version held");
+  }
+  // Both functions compare the digest and run the validator.
+  Result<config::SnapshotPointer> Built =
+      IsDelta ? config::applyDelta(*Current_, Reply.Delta_)
+              : config::fromImage(Reply.Image_);
+  if (!Built) {
+    ++Counts_.Invalid_;
+    return Built.error();
+  }
+  adopt(Built.value(), Now);
+  return success();
+}
+
+void VersionStore::adopt(const config::SnapshotPointer &Offered,
+                         TimePoint Now) {
+  Current_ = Offered;
+  Bases_.push_back(config::digestsOf(*Offered));
+  if (Bases_.size() > DeltaBases)
+    Bases_.pop_front();
+  History_.push_back({Offered->version(), Offered->digest(), Now});
+  if (History_.size() > HistoryLength)
+    History_.pop_front();
+  if (Last_ && isSuperseded(*Last_))
+    Last_.reset();
+}
+
+ConfigVersion VersionStore::version() const {
+  return Current_ ? Current_->version() : ConfigVersion{};
+}
+
+Digest128 VersionStore::digest() const {
+  return Current_ ? Current_->digest() : Digest128{};
+}
+
+SyncRequest VersionStore::request() const {
+  SyncRequest Request;
+  Request.Have_ = version();
+  Request.HaveDigest_ = digest();
+  return Request;
+}
+
+SyncReply VersionStore::answer(const SyncRequest &Request) const {
+  SyncReply Reply;
+  Reply.Kind_ = SyncKind::Unchanged;
+  if (!Current_ || Request.Have_ >= version())
+    return Reply;
+  auto Base = std::find_if(Bases_.begin(), Bases_.end(),
+                           [&](const config::SnapshotDigests &Kept) {
+                             return Kept.Version_ == Request.Have_ &&
+                                    Kept.Digest_ == Request.HaveDigest_;
+                           });
+  if (Base == Bases_.end()) {
+    Reply.Kind_ = SyncKind::Whole;
+    Reply.Image_ = config::toImage(*Current_);
+  } else {
+    Reply.Kind_ = SyncKind::Delta;
+    Reply.Delta_ = config::makeDelta(*Base, *Current_);
+  }
+  return Reply;
+}
+
+bool VersionStore::refuse(const Refusal &Refused) {
+  Last_ = Refused;
+  return keep(Refused);
+}
+
+bool VersionStore::mergeRefusal(const Refusal &Refused) {
+  if (Refused.Version_.Revision_ == 0 || isSuperseded(Refused) ||
+      !keep(Refused))
+    return false;
+  Last_ = Refused;
+  return true;
+}
+
+bool VersionStore::keep(const Refusal &Refused) {
+  std::uint64_t Revision = Refused.Version_.Revision_;
+  if (isRefused(Revision))
+    return false;
+  Refusals_.push_back(Revision);
+  if (Refusals_.size() > RefusalsKept)
+    Refusals_.pop_front();
+  return true;
+}
+
+bool VersionStore::isSuperseded(const Refusal &Refused) const {
+  // Without an epoch the text could not be read; the revision decides.
+  if (Refused.Version_.Epoch_ == 0)
+    return Refused.Version_.Revision_ <= version().Revision_;
+  return Refused.Version_ <= version();
+}
+
+bool VersionStore::isRefused(std::uint64_t Revision) const {
+  return std::find(Refusals_.begin(), Refusals_.end(), Revision) !=
+         Refusals_.end();
+}
+
+void VersionStore::fill(NodeSummary &Summary) const {
+  Summary.Version_ = version();
+  Summary.Digest_ = digest().Low_;
+  Summary.Refused_ = Last_.value_or(Refusal{});
+}
+
+} // namespace marigold::distribution
--- a/src/Distribution/VersionStore.h
+++ b/src/Distribution/VersionStore.h
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -91,12 +90,14 @@
   bool refuse(const Refusal &Refused);
 
   /// Keeps a refusal that a peer reports. Returns whether it is news to be
-  /// passed on: not known, and not for a version older than one in force.
+  /// passed on: its revision is not known to be refused, and no newer version
+  /// is in force. A refusal as VersionOlder is therefore shown only by the
+  /// nodes that read the source.
   bool mergeRefusal(const Refusal &Refused);
 
-  /// Refusal of the highest revision that is newer than the version in force,
-  /// or the latest one of this node's own; nothing when none.
-  std::optional<Refusal> lastRefusal() const;
+  /// The latest refusal, of this node or reported by a peer; nothing when
+  /// none or when a newer version was adopted since.
+  const std::optional<Refusal> &lastRefusal() const { return Last_; }
 
   /// Whether a text with this revision is known to be refused.
   bool isRefused(std::uint64_t Revision) const;
@@ -108,12 +109,17 @@
   void fill(NodeSummary &Summary) const;
 
 private:
+  Result<void> checkOrder(const ConfigVersion &Version,
+                          const Digest128 &Digest);
   void adopt(const config::SnapshotPointer &Offered, TimePoint Now);
+  bool keep(const Refusal &Refused);
+  bool isSuperseded(const Refusal &Refused) const;
 
   config::SnapshotPointer Current_;
   std::deque<config::SnapshotDigests> Bases_;
   std::deque<AdoptedVersion> History_;
-  std::map<std::uint64_t, Refusal> Refusals_;
+  // Refused revisions, oldest first.
+  std::deque<std::uint64_t> Refusals_;
   std::optional<Refusal> Last_;
   OfferCounts Counts_;
 };
--- /dev/null
+++ b/src/Membership/PauseDetector.cpp
@@ -0,0 +1,26 @@
+#include "Membership/PauseDetector.h"
+
+namespace marigold::membership {
+
+std::optional<Duration> PauseDetector::tick(TimePoint Now) {
+  Duration Gap = Now - LastTick_;
+  LastTick_ = Now;
+  if (Gap <= Threshold_)
+    return std::nullopt;
+  ResumedAt_ = Now;
+  return Gap;
+}
+
+void PauseDetector::onExchange(TimePoint SentAt) {
+  if (ResumedAt_ && SentAt >= *ResumedAt_)
+    ResumedAt_.reset();
+}
+
+bool PauseDetector::isTrusted(TimePoint Now) const {
+  // A call may arrive after a pause before the first tick does.
+  if (Now - LastTick_ > Threshold_)
+    return false;
+  return !ResumedAt_ || Now - *ResumedAt_ >= HoldLimit_;
+}
+
+} // namespace marigold::membership
--- a/src/Membership/ProbeScheduler.h
+++ b/src/Membership/ProbeScheduler.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 
 namespace marigold::membership {
@@ -110,38 +111,51 @@
     HostId Subject_;
     TimePoint Deadline_;
     std::vector<HostId> Helpers_;
-    std::size_t Refusals_ = 0;
+    std::set<HostId> SilentFor_;
   };
   struct Relay {
-    HostId Asker_;
+    HostRecord Asker_;
     std::uint32_t AskerSequence_ = 0;
     HostId Subject_;
     TimePoint Deadline_;
   };
 
   void shiftDeadlines(Duration Gap);
-  void startProbe(TimePoint Now, Actions &Out);
+  void startProbe(const HostId &Subject, const HostRecord &Claim, TimePoint Now,
+                  Actions &Out);
+  void probeNext(TimePoint Now, Actions &Out);
   void askHelpers(std::uint32_t Sequence, Probe &Running, TimePoint Now,
                   Actions &Out);
   void endProbes(TimePoint Now, Actions &Out);
+  void onProbeAnswer(const Ack &Message, TimePoint Now, Actions &Out);
+  void onRelayAnswer(const Ack &Message, TimePoint Now, Actions &Out);
+  void failProbe(const Probe &Failed, TimePoint Now, Actions &Out);
   void endRelays(TimePoint Now, Actions &Out);
   void probeDead(TimePoint Now, Actions &Out);
   void verifyNext(TimePoint Now, Actions &Out);
   void runSuspicions(TimePoint Now, Actions &Out);
-  void suspect(const Probe &Failed, TimePoint Now, Actions &Out);
-  void merge(const HostUpdate &Update, TimePoint Now, Actions &Out);
+  void declareDead(const HostId &Subject, TimePoint Now, Actions &Out);
+  bool merge(const HostUpdate &Update, bool PassOn, TimePoint Now,
+             Actions &Out);
+  void mergeAll(const std::vector<HostUpdate> &Received, TimePoint Now,
+                Actions &Out);
+  void mergeExchanged(const HostRecord &Record, TimePoint Now, Actions &Out);
   void mergeOwn(const HostRecord &Claim, TimePoint Now, Actions &Out);
   void mergeDirect(const HostRecord &Sender, TimePoint Now, Actions &Out);
   void exceed(std::uint64_t Incarnation, std::uint32_t Sequence, TimePoint Now,
               Actions &Out);
   void publishOwn(TimePoint Now, Actions &Out);
   std::uint32_t sendPing(const HostId &To, TimePoint Now, Actions &Out);
-  void sendAck(const HostId &To, std::uint32_t Sequence, const HostId &Subject,
-               bool Reached, TimePoint Now, Actions &Out);
+  std::uint32_t sendPing(const HostId &To, const HostRecord &Claim,
+                         TimePoint Now, Actions &Out);
+  void sendAck(const HostRecord &To, std::uint32_t Sequence,
+               const HostId &Subject, bool Reached, TimePoint Now,
+               Actions &Out);
+  Duration patience() const;
   NodeSummary summary(TimePoint Now) const;
-  std::vector<HostUpdate> takeUpdates(const HostId &Receiver,
-                                      std::size_t MessageBytes);
+  template <class Message> void addUpdates(const HostId &To, Message &Sent);
   std::optional<HostId> nextSubject();
+  void enterRound(const HostId &Id);
 
   HostTable &Table_;
   HostRecord Own_;
@@ -154,7 +168,8 @@
   std::vector<HostId> Round_;
   std::map<std::uint32_t, Probe> Probes_;
   std::map<std::uint32_t, Relay> Relays_;
-  std::deque<HostId> Verifications_;
+  // Dead records of hosts that this node holds to be alive.
+  std::deque<HostRecord> Verifications_;
   std::uint32_t NextSequence_ = 1;
   TimePoint LastTick_;
   TimePoint NextProbe_;
--- /dev/null
+++ b/src/Membership/SuspicionTable.cpp
@@ -0,0 +1,91 @@
+#include "Membership/SuspicionTable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigold::membership {
+namespace {
+
+// Fraction of the timeout that remains with full confirmations.
+constexpr double ShortestFraction = 1.0 / 3;
+
+// Reminders of a node that only heard of the suspicion, before it declares the
+// suspect dead.
+constexpr int FinalReminders = 6;
+
+} // namespace
+
+bool SuspicionTable::accuse(const HostId &Subject, const HostId &Accuser,
+                            bool Own, unsigned Multiplier, TimePoint Now) {
+  auto [Found, Inserted] = Running_.try_emplace(Subject);
+  Suspicion &Running = Found->second;
+  if (Inserted) {
+    Running.Start_ = Now;
+    Running.NextReminder_ = Now;
+    Running.Multiplier_ = Multiplier;
+  }
+  if (Own && !Running.Own_) {
+    Running.Own_ = true;
+    Running.NextReminder_ = Now;
+  }
+  if (Running.Accusers_.size() > FullConfirmations_)
+    return false;
+  return Running.Accusers_.insert(Accuser).second;
+}
+
+bool SuspicionTable::clear(const HostId &Subject) {
+  return Running_.erase(Subject) != 0;
+}
+
+void SuspicionTable::restart(const HostId &Subject, TimePoint Now) {
+  auto Found = Running_.find(Subject);
+  if (Found != Running_.end())
+    Found->second.Start_ = Now;
+}
+
+std::vector<SuspicionStep> SuspicionTable::due(TimePoint Now) {
+  std::vector<SuspicionStep> Steps;
+  Duration Final = Options_.Reminder_ * FinalReminders;
+  for (auto &[Subject, Running] : Running_) {
+    Duration Patience = patience(Running);
+    TimePoint Deadline = Running.Start_ + Patience;
+    if (!Running.Own_)
+      Deadline += Final;
+    if (Now >= Deadline) {
+      Steps.push_back({Subject, true});
+      continue;
+    }
+    TimePoint From = Running.Start_ + (Running.Own_ ? Duration(0) : Patience);
+    if (Now >= From && Now >= Running.NextReminder_) {
+      Running.NextReminder_ = Now + Options_.Reminder_;
+      Steps.push_back({Subject, false});
+    }
+  }
+  // The order of an unordered map must not decide the order of messages.
+  std::sort(Steps.begin(), Steps.end(),
+            [](const SuspicionStep &Left, const SuspicionStep &Right) {
+              return Left.Subject_ < Right.Subject_;
+            });
+  return Steps;
+}
+
+void SuspicionTable::shift(Duration Gap) {
+  for (auto &[Subject, Running] : Running_) {
+    Running.Start_ += Gap;
+    Running.NextReminder_ += Gap;
+  }
+}
+
+Duration SuspicionTable::patience(const Suspicion &Running) const {
+  // As in Lifeguard: each further confirmation shortens the rest of the time
+  // less than the one before.
+  double Confirmations = std::min(
+      Running.Accusers_.empty() ? 0.0 : double(Running.Accusers_.size() - 1),
+      double(FullConfirmations_));
+  double Share = std::log(Confirmations + 1) / std::log(FullConfirmations_ + 1);
+  double Fraction = 1 - (1 - ShortestFraction) * Share;
+  return std::chrono::duration_cast<Duration>(Options_.Timeout_ * Fraction) *
+         Running.Multiplier_;
+}
+
+} // namespace marigold::membership
--- a/src/Schema/SettingTypes.h
+++ b/src/Schema/SettingTypes.h
@@ -18,6 +18,10 @@
   friend auto operator<=>(const Address &, const Address &) = default;
 };
 
+// g++ 12 reports -Wshadow for enumerators of a scoped enumeration (here for
+// Duration after Support/Clock.h), although they hide nothing.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
 /// Form of a setting's text.
 enum class SettingType : std::uint8_t {
   String,
@@ -30,6 +34,7 @@
   Choice,
   Flag
 };
+#pragma GCC diagnostic pop
 
 /// Static description of one setting, independent of the program.
 struct SettingInfo {
