--- a/src/Config/Diagnostic.h
+++ b/src/Config/Diagnostic.h
@@ -3,6 +3,7 @@
 #include "Schema/generated/Errors.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace marigold::config {
@@ -29,6 +30,10 @@
 /// Writes "file:line:column: code: message; fix: ...".
 std::string toText(const Diagnostic &Value);
 
+/// Text from a configuration for a message: in quotes, control characters
+/// replaced, cut to a length that fits one line.
+std::string quoteText(std::string_view Text);
+
 /// Errors of one text, ordered by line and column.
 using Diagnostics = std::vector<Diagnostic>;
 
--- a/src/Config/Limits.h
+++ b/src/Config/Limits.h
@@ -10,8 +10,8 @@
 inline constexpr std::size_t MaxTextBytes = 1024 * 1024;
 /// Deepest nesting of mappings and lists; a valid text needs six levels.
 inline constexpr unsigned MaxNesting = 16;
-/// Most YAML nodes of one text. A valid text of 1 MiB has about 160,000; the
-/// limit bounds the memory that a hostile text can claim.
+/// Most YAML nodes (scalars, lists, mappings) of one text, which bounds the
+/// memory that a hostile text can claim.
 inline constexpr std::size_t MaxTextNodes = 250'000;
 /// Most errors that are reported for one text.
 inline constexpr std::size_t MaxDiagnostics = 1000;
@@ -28,7 +28,7 @@
 /// Longest path of a route.
 inline constexpr std::size_t MaxPathLength = 256;
 
-/// Lowest and highest allowed epoch; 0 stands for "no version".
+/// Lowest allowed epoch; 0 stands for "no version".
 inline constexpr std::uint32_t MinEpoch = 1;
 
 /// Allowed durations, for operators' typing errors rather than for safety.
@@ -38,10 +38,15 @@
 inline constexpr std::chrono::microseconds MinLatency{100};
 inline constexpr std::chrono::microseconds MaxLatency{60'000'000};
 
-/// Allowed objectives. An objective of 100 % leaves no error budget, for which
-/// no burn rate is defined.
-inline constexpr double MinObjective = 0.01;
-inline constexpr double MaxObjective = 0.999999;
+/// Allowed objectives in parts per million. An objective of 100 % leaves no
+/// error budget, for which no burn rate is defined.
+inline constexpr std::uint64_t MinObjective = 10'000;
+inline constexpr std::uint64_t MaxObjective = 999'999;
+
+/// Largest numbers for one target.
+inline constexpr std::uint32_t MaxSlots = 10'000;
+inline constexpr std::uint32_t MaxQueue = 100'000;
+inline constexpr std::uint32_t MaxConnections = 100'000;
 
 /// Largest limit of a request body in bytes.
 inline constexpr std::uint64_t MaxBodyLimit = 16 * 1024 * 1024;
--- /dev/null
+++ b/src/Config/Snapshot.cpp
@@ -0,0 +1,210 @@
+#include "Config/Snapshot.h"
+#include "Config/Validator.h"
+#include "Support/Archive.h"
+#include "Support/Digest.h"
+
+#include <algorithm>
+#include <array>
+
+namespace marigold::config {
+namespace {
+
+Digest128 computeDigest(const std::string &Mesh,
+                        const std::vector<ServiceEntryPointer> &Services) {
+  std::string Buffer;
+  WireOutput Archive(Buffer);
+  Archive(Mesh);
+  for (const ServiceEntryPointer &Entry : Services)
+    Archive(Entry->Digest_);
+  return digest128(Buffer);
+}
+
+ServiceEntryPointer makeEntry(ServiceConfig Service) {
+  Digest128 Digest = serviceDigest(Service);
+  return std::make_shared<const ServiceEntry>(
+      ServiceEntry{std::move(Service), Digest});
+}
+
+int hexValue(char C) {
+  if (C >= '0' && C <= '9')
+    return C - '0';
+  if (C >= 'a' && C <= 'f')
+    return C - 'a' + 10;
+  if (C >= 'A' && C <= 'F')
+    return C - 'A' + 10;
+  return -1;
+}
+
+bool isUnreserved(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         (C >= '0' && C <= '9') || C == '-' || C == '.' || C == '_' || C == '~';
+}
+
+/// Appends a path byte to Segment and consumes it, with an escape of an
+/// unreserved character decoded. False when the path is ambiguous.
+bool takePathByte(std::string_view &Path, std::string &Segment) {
+  char C = Path.front();
+  if (C == '\\' || static_cast<unsigned char>(C) <= 0x20 || C == 0x7F)
+    return false;
+  if (C != '%') {
+    Segment += C;
+    Path.remove_prefix(1);
+    return true;
+  }
+  if (Path.size() < 3)
+    return false;
+  int High = hexValue(Path[1]);
+  int Low = hexValue(Path[2]);
+  if (High < 0 || Low < 0)
+    return false;
+  auto Decoded = static_cast<char>(High * 16 + Low);
+  if (Decoded == '/' || Decoded == '\\' || Decoded == '\0')
+    return false;
+  if (isUnreserved(Decoded))
+    Segment += Decoded;
+  else
+    Segment += Path.substr(0, 3);
+  Path.remove_prefix(3);
+  return true;
+}
+
+/// True when Path, a valid path of a route, is a prefix of the segments.
+bool isPrefix(std::string_view Path, const std::vector<std::string> &Segments) {
+  if (Path == "/")
+    return true;
+  for (const std::string &Segment : Segments) {
+    Path.remove_prefix(1);
+    if (!Path.starts_with(Segment))
+      return false;
+    Path.remove_prefix(Segment.size());
+    if (Path.empty())
+      return true;
+    if (Path.front() != '/')
+      return false;
+  }
+  return false;
+}
+
+} // namespace
+
+Snapshot::Snapshot(ConfigVersion Version, std::string Mesh,
+                   std::vector<ServiceEntryPointer> Services)
+    : Version_(Version), Mesh_(std::move(Mesh)), Services_(std::move(Services)),
+      Digest_(computeDigest(Mesh_, Services_)) {}
+
+const ServiceConfig *Snapshot::findService(std::string_view Name) const {
+  auto Position = std::ranges::lower_bound(
+      Services_, Name, {}, [](const ServiceEntryPointer &Entry) {
+        return std::string_view(Entry->Config_.Name_);
+      });
+  if (Position == Services_.end() || (*Position)->Config_.Name_ != Name)
+    return nullptr;
+  return &(*Position)->Config_;
+}
+
+Result<const RouteConfig *>
+Snapshot::matchRoute(std::string_view Service, std::string_view Method,
+                     std::string_view Target) const {
+  const ServiceConfig *Found = findService(Service);
+  if (Found == nullptr)
+    return fail(ErrorCode::UnknownService, std::string(Service));
+  BOOST_OUTCOME_TRY(auto Segments, requestSegments(Target));
+  // Routes are in descending order of length, and all matching paths are
+  // prefixes of one path, so the first match is the longest.
+  for (const RouteConfig &Route : Found->Routes_)
+    if (std::ranges::binary_search(Route.Methods_, Method) &&
+        isPrefix(Route.Path_, Segments))
+      return &Route;
+  return fail(ErrorCode::NoRoute, std::string(Method));
+}
+
+Result<std::vector<std::string>> requestSegments(std::string_view Target) {
+  std::string_view Path = Target.substr(0, Target.find('?'));
+  if (!Path.starts_with('/') || Path.find('#') != std::string_view::npos)
+    return fail(ErrorCode::MalformedRequest, "path does not begin with /");
+  std::vector<std::string> Segments;
+  while (!Path.empty()) {
+    Path.remove_prefix(1);
+    // A single slash at the end does not begin another segment.
+    if (Path.empty())
+      break;
+    std::string Segment;
+    while (!Path.empty() && Path.front() != '/')
+      if (!takePathByte(Path, Segment))
+        return fail(ErrorCode::MalformedRequest,
+                    "path has an ambiguous character or escape");
+    if (Segment.empty() || Segment == "." || Segment == "..")
+      return fail(ErrorCode::MalformedRequest,
+                  "path has an empty or dot segment");
+    Segments.push_back(std::move(Segment));
+  }
+  return Segments;
+}
+
+Digest128 serviceDigest(const ServiceConfig &Service) {
+  return digest128(encodeBody(Service));
+}
+
+SnapshotPointer buildSnapshot(ServiceModel Model, ConfigVersion Version) {
+  normalize(Model);
+  std::vector<ServiceEntryPointer> Entries;
+  Entries.reserve(Model.Services_.size());
+  for (ServiceConfig &Service : Model.Services_)
+    Entries.push_back(makeEntry(std::move(Service)));
+  return std::make_shared<const Snapshot>(Version, std::move(Model.Mesh_),
+                                          std::move(Entries));
+}
+
+Result<void> validateSnapshot(const Snapshot &Value) {
+  ModelView View{Value.version().Epoch_, Value.mesh(), {}};
+  View.Services_.reserve(Value.services().size());
+  for (const ServiceEntryPointer &Entry : Value.services()) {
+    if (serviceDigest(Entry->Config_) != Entry->Digest_)
+      return fail(ErrorCode::DigestMismatch,
+                  "digest of service " + Entry->Config_.Name_);
+    View.Services_.push_back(&Entry->Config_);
+  }
+  if (computeDigest(Value.mesh(), Value.services()) != Value.digest())
+    return fail(ErrorCode::DigestMismatch, "digest of the snapshot");
+  if (auto Disorder = findDisorder(View))
+    return fail(ErrorCode::SnapshotInvalid, std::move(*Disorder));
+  std::vector<ModelError> Errors = validateModel(View);
+  if (!Errors.empty())
+    return fail(ErrorCode::SnapshotInvalid,
+                std::string(errorText(Errors.front().Code_)) + ": " +
+                    Errors.front().Message_);
+  return success();
+}
+
+ServiceModel toModel(const Snapshot &Value) {
+  ServiceModel Model{Value.version().Epoch_, Value.mesh(), {}};
+  Model.Services_.reserve(Value.services().size());
+  for (const ServiceEntryPointer &Entry : Value.services())
+    Model.Services_.push_back(Entry->Config_);
+  return Model;
+}
+
+SnapshotImage toImage(const Snapshot &Value) {
+  SnapshotImage Image;
+  Image.Version_ = Value.version();
+  Image.Digest_ = Value.digest();
+  ServiceModel Model = toModel(Value);
+  Image.Mesh_ = std::move(Model.Mesh_);
+  Image.Services_ = std::move(Model.Services_);
+  return Image;
+}
+
+Result<SnapshotPointer> fromImage(SnapshotImage Image) {
+  std::vector<ServiceEntryPointer> Entries;
+  Entries.reserve(Image.Services_.size());
+  for (ServiceConfig &Service : Image.Services_)
+    Entries.push_back(makeEntry(std::move(Service)));
+  auto Built = std::make_shared<const Snapshot>(
+      Image.Version_, std::move(Image.Mesh_), std::move(Entries));
+  if (Built->digest() != Image.Digest_)
+    return fail(ErrorCode::DigestMismatch, "digest of the image");
+  BOOST_OUTCOME_TRY(validateSnapshot(*Built));
+  return Built;
+}
+
+} // namespace marigold::config
--- /dev/null
+++ b/src/Config/TextParser.cpp
@@ -0,0 +1,323 @@
+#include "Config/TextParser.h"
+#include "Config/Fields.h"
+#include "Config/Limits.h"
+#include "Config/TextTree.h"
+#include "Config/Validator.h"
+
+#include <algorithm>
+#include <initializer_list>
+#include <limits>
+#include <set>
+#include <tuple>
+
+namespace marigold::config {
+namespace {
+
+/// Nodes of a route that errors of the validator refer to.
+struct RouteNodes {
+  const TextNode *Route_;
+  std::vector<const TextNode *> Methods_;
+};
+
+/// Nodes of a service that errors of the validator refer to.
+struct ServiceNodes {
+  const TextNode *Name_;
+  const TextNode *Value_;
+  std::vector<const TextNode *> DependsOn_;
+  std::vector<RouteNodes> Routes_;
+};
+
+/// Reads the tree of one text into a model and collects errors. A value with
+/// an error leaves its default in the model, so that the validator goes on
+/// without reporting the same place again.
+class ModelReader {
+public:
+  ModelReader(std::string_view FileName, Diagnostics &Out)
+      : FileName_(FileName), Out_(Out) {}
+
+  ServiceModel read(const TextNode &Root) {
+    // Placeholders for keys that are missing or wrong.
+    Model_.Epoch_ = MinEpoch;
+    Model_.Mesh_ = "mesh";
+    if (!isMapping(Root, "the text", "epoch, mesh and services"))
+      return {};
+    checkKeys(Root, "the text", {"epoch", "mesh", "services"});
+    readEpoch(Root);
+    if (const TextNode *Node = requireKey(Root, "the text", "mesh"))
+      readText(*Node, "mesh", Model_.Mesh_);
+    const TextNode *Services = requireKey(Root, "the text", "services");
+    bool Complete = Services != nullptr && readServices(*Services);
+    for (ModelError &Error : validateModel(viewOf(Model_))) {
+      // A missing or malformed list has been reported already.
+      if (!Complete && Error.Place_.Key_ == "services")
+        continue;
+      const TextNode &Node = locate(Root, Error.Place_);
+      report(Node, Error.Code_, std::move(Error.Message_),
+             std::move(Error.Fix_));
+    }
+    return std::move(Model_);
+  }
+
+private:
+  void report(const TextNode &Node, ErrorCode Code, std::string Message,
+              std::string Fix) {
+    // One more than is shown, so that arrange knows of further errors.
+    if (Out_.size() > MaxDiagnostics)
+      return;
+    Out_.push_back({std::string(FileName_), Node.Line_, Node.Column_, Code,
+                    std::move(Message), std::move(Fix)});
+  }
+
+  void reportType(const TextNode &Node, std::string_view What,
+                  std::string_view Form) {
+    report(Node, ErrorCode::WrongType,
+           std::string(What) + " is not " + std::string(Form),
+           "write " + std::string(Form));
+  }
+
+  bool isMapping(const TextNode &Node, std::string_view What,
+                 std::string_view Keys) {
+    if (Node.Kind_ == NodeKind::Mapping)
+      return true;
+    reportType(Node, What, "a mapping with " + std::string(Keys));
+    return false;
+  }
+
+  bool isList(const TextNode &Node, std::string_view What) {
+    if (Node.Kind_ == NodeKind::List)
+      return true;
+    reportType(Node, What, "a list");
+    return false;
+  }
+
+  /// Reports unknown and duplicate keys of a mapping.
+  void checkKeys(const TextNode &Mapping, std::string_view What,
+                 std::initializer_list<std::string_view> Known) {
+    std::set<std::string_view> Seen;
+    for (std::size_t Index = 0; Index < Mapping.Children_.size(); Index += 2) {
+      const TextNode &Key = Mapping.Children_[Index];
+      if (Key.Kind_ != NodeKind::Scalar) {
+        reportType(Key, "a key of " + std::string(What), "a text");
+      } else if (std::ranges::find(Known, Key.Text_) == Known.end()) {
+        std::string Names;
+        for (std::string_view Name : Known)
+          Names += (Names.empty() ? "" : ", ") + std::string(Name);
+        report(Key, ErrorCode::UnknownKey,
+               "key " + quoteText(Key.Text_) + " is not known in " +
+                   std::string(What),
+               "use one of " + Names);
+      } else if (!Seen.insert(Key.Text_).second) {
+        report(Key, ErrorCode::DuplicateKey,
+               "key " + quoteText(Key.Text_) + " stands twice in " +
+                   std::string(What),
+               "remove one of the two");
+      }
+    }
+  }
+
+  const TextNode *requireKey(const TextNode &Mapping, std::string_view What,
+                             std::string_view Key) {
+    const TextNode *Node = Mapping.find(Key);
+    if (Node == nullptr)
+      report(Mapping, ErrorCode::MissingKey,
+             std::string(What) + " has no key " + std::string(Key),
+             "add " + std::string(Key));
+    return Node;
+  }
+
+  bool readText(const TextNode &Node, std::string_view What,
+                std::string &Target) {
+    if (Node.Kind_ != NodeKind::Scalar) {
+      reportType(Node, What, "a text");
+      return false;
+    }
+    Target = Node.Text_;
+    return true;
+  }
+
+  void readEpoch(const TextNode &Root) {
+    const TextNode *Node = requireKey(Root, "the text", "epoch");
+    if (Node == nullptr)
+      return;
+    auto Value = parseQuantity(QuantityKind::Count, Node->Text_);
+    if (Node->Kind_ != NodeKind::Scalar || Node->Quoted_ || !Value)
+      return reportType(*Node, "epoch", "a whole number without quotes");
+    if (Value.value() > std::numeric_limits<std::uint32_t>::max())
+      return report(*Node, ErrorCode::OutOfRange,
+                    "epoch " + quoteText(Node->Text_) +
+                        " is outside 1 to 4294967295",
+                    "raise the last epoch by 1");
+    Model_.Epoch_ = static_cast<std::uint32_t>(Value.value());
+  }
+
+  bool readServices(const TextNode &Node) {
+    if (!isMapping(Node, "services", "one key per service"))
+      return false;
+    bool Complete = true;
+    for (std::size_t Index = 0; Index < Node.Children_.size(); Index += 2) {
+      const TextNode &Key = Node.Children_[Index];
+      if (Key.Kind_ != NodeKind::Scalar) {
+        reportType(Key, "a service's name", "a text");
+        Complete = false;
+        continue;
+      }
+      readService(Key, Node.Children_[Index + 1]);
+    }
+    return Complete;
+  }
+
+  void readService(const TextNode &Key, const TextNode &Value) {
+    Model_.Services_.push_back(defaultService(Key.Text_));
+    ServiceConfig &Service = Model_.Services_.back();
+    ServiceNodes &Nodes = Nodes_.emplace_back();
+    Nodes.Name_ = &Key;
+    Nodes.Value_ = &Value;
+    std::string What = "service " + quoteText(Key.Text_);
+    // "name:" alone is a service with all defaults.
+    if (Value.Kind_ == NodeKind::Null ||
+        !isMapping(Value, What, "the keys of a service"))
+      return;
+    checkKeys(Value, What,
+              {"depends_on", "slots", "queue", "connections", "slow_start",
+               "objective", "routes"});
+    readFields(serviceFields(), Value, Service);
+    if (const TextNode *Node = Value.find("depends_on"))
+      readNames(*Node, "depends_on", Service.DependsOn_, Nodes.DependsOn_);
+    if (const TextNode *Node = Value.find("objective");
+        Node != nullptr &&
+        isMapping(*Node, "objective", "availability, latency, latency_ratio")) {
+      checkKeys(*Node, "objective",
+                {"availability", "latency", "latency_ratio"});
+      readFields(objectiveFields(), *Node, Service.Objective_);
+    }
+    if (const TextNode *Node = Value.find("routes");
+        Node != nullptr && isList(*Node, "routes"))
+      readRoutes(*Node, Service, Nodes);
+  }
+
+  template <class Owner>
+  void readFields(std::span<const Field<Owner>> Fields, const TextNode &Mapping,
+                  Owner &Target) {
+    for (const Field<Owner> &Description : Fields) {
+      const TextNode *Node = Mapping.find(Description.Key_);
+      if (Node == nullptr)
+        continue;
+      std::string Key(Description.Key_);
+      if (Node->Kind_ != NodeKind::Scalar) {
+        reportType(*Node, Key, "a single value");
+        continue;
+      }
+      auto Error = readField(Description, Target, {Node->Text_, Node->Quoted_});
+      if (Error)
+        report(*Node, Error->Code_,
+               Key + " " + quoteText(Node->Text_) + " " + Error->Message_,
+               Error->Fix_);
+    }
+  }
+
+  void readNames(const TextNode &Node, std::string_view What,
+                 std::vector<std::string> &Names,
+                 std::vector<const TextNode *> &Nodes) {
+    if (!isList(Node, What))
+      return;
+    std::vector<std::string> Read;
+    for (const TextNode &Entry : Node.Children_) {
+      std::string Name;
+      if (!readText(Entry, "an entry of " + std::string(What), Name))
+        continue;
+      Read.push_back(std::move(Name));
+      Nodes.push_back(&Entry);
+    }
+    // A list whose every entry is wrong is not reported as empty as well.
+    if (!Read.empty() || Node.Children_.empty())
+      Names = std::move(Read);
+  }
+
+  void readRoutes(const TextNode &List, ServiceConfig &Service,
+                  ServiceNodes &Nodes) {
+    std::vector<RouteConfig> Routes;
+    for (const TextNode &Node : List.Children_) {
+      if (!isMapping(Node, "a route", "the keys of a route"))
+        continue;
+      checkKeys(Node, "a route",
+                {"path", "methods", "repeatable", "deadline", "priority",
+                 "max_body"});
+      RouteConfig Route = defaultRoute();
+      RouteNodes Places{&Node, {}};
+      const TextNode *Path = requireKey(Node, "a route", "path");
+      bool HasPath = Path != nullptr && readText(*Path, "path", Route.Path_);
+      if (const TextNode *Methods = Node.find("methods"))
+        readNames(*Methods, "methods", Route.Methods_, Places.Methods_);
+      readFields(routeFields(), Node, Route);
+      // Without a path nothing else can be said about the route.
+      if (!HasPath)
+        continue;
+      Routes.push_back(std::move(Route));
+      Nodes.Routes_.push_back(std::move(Places));
+    }
+    // A list whose every route is wrong keeps the default route, so that it
+    // is not reported as empty as well.
+    if (!Routes.empty() || List.Children_.empty())
+      Service.Routes_ = std::move(Routes);
+  }
+
+  /// Node of the text that a place of the model comes from.
+  const TextNode &locate(const TextNode &Root, const ModelPlace &Place) const {
+    const TextNode *Node = &Root;
+    const std::vector<const TextNode *> *Entries = nullptr;
+    if (Place.Service_) {
+      const ServiceNodes &Service = Nodes_[*Place.Service_];
+      Node = Place.Key_.empty() ? Service.Name_ : Service.Value_;
+      Entries = &Service.DependsOn_;
+      if (Place.Route_ && *Place.Route_ < Service.Routes_.size()) {
+        const RouteNodes &Route = Service.Routes_[*Place.Route_];
+        Node = Route.Route_;
+        Entries = &Route.Methods_;
+      }
+    }
+    if (Entries != nullptr && Place.Entry_ && *Place.Entry_ < Entries->size())
+      return *(*Entries)[*Place.Entry_];
+    const TextNode *Value =
+        Place.Key_.empty() ? nullptr : Node->find(Place.Key_);
+    return Value != nullptr ? *Value : *Node;
+  }
+
+  std::string_view FileName_;
+  Diagnostics &Out_;
+  ServiceModel Model_;
+  std::vector<ServiceNodes> Nodes_;
+};
+
+/// Orders errors by place and bounds their number.
+void arrange(Diagnostics &Errors, std::string_view FileName) {
+  std::ranges::stable_sort(Errors, {}, [](const Diagnostic &Error) {
+    return std::tuple(Error.Line_, Error.Column_);
+  });
+  // The parser names an anchor both at a mapping and at its first key.
+  auto Repeated = std::ranges::unique(Errors);
+  Errors.erase(Repeated.begin(), Repeated.end());
+  if (Errors.size() <= MaxDiagnostics)
+    return;
+  Errors.resize(MaxDiagnostics);
+  const Diagnostic &Last = Errors.back();
+  Errors.push_back({std::string(FileName), Last.Line_, Last.Column_,
+                    ErrorCode::TooMany, "further errors are not shown",
+                    "correct the errors above first"});
+}
+
+} // namespace
+
+ParseResult parseText(std::string_view Text, std::string_view FileName) {
+  Diagnostics Errors;
+  ServiceModel Model;
+  if (auto Root = readTree(Text, FileName, Errors))
+    Model = ModelReader(FileName, Errors).read(*Root);
+  if (!Errors.empty()) {
+    arrange(Errors, FileName);
+    return Errors;
+  }
+  normalize(Model);
+  return Model;
+}
+
+} // namespace marigold::config
--- /dev/null
+++ b/src/Config/Validator.cpp
@@ -0,0 +1,338 @@
+#include "Config/Validator.h"
+#include "Config/Diagnostic.h"
+#include "Config/Fields.h"
+#include "Config/Limits.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace marigold::config {
+namespace {
+
+constexpr std::size_t None = static_cast<std::size_t>(-1);
+
+bool isNameCharacter(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '-';
+}
+
+/// Characters that need no escape in a path and have no special meaning to
+/// servers.
+bool isPathCharacter(char C) {
+  return isNameCharacter(C) || (C >= 'A' && C <= 'Z') || C == '.' || C == '_' ||
+         C == '~';
+}
+
+/// Reason why a route's path is not acceptable, or nothing.
+std::optional<std::string> findPathError(std::string_view Path) {
+  if (Path.size() > MaxPathLength)
+    return "is longer than " + std::to_string(MaxPathLength) + " bytes";
+  if (!Path.starts_with('/'))
+    return "does not begin with a slash";
+  std::string_view Rest = Path.substr(1);
+  while (!Rest.empty()) {
+    std::size_t End = std::min(Rest.find('/'), Rest.size());
+    std::string_view Segment = Rest.substr(0, End);
+    if (Segment.empty() || Segment == "." || Segment == "..")
+      return "has an empty or dot segment";
+    if (!std::ranges::all_of(Segment, isPathCharacter))
+      return "has a character outside a-z, A-Z, 0-9, hyphen, dot, underscore "
+             "and tilde";
+    if (End + 1 == Rest.size())
+      return "ends with a slash";
+    Rest.remove_prefix(std::min(End + 1, Rest.size()));
+  }
+  return std::nullopt;
+}
+
+/// Collects the errors of one model.
+class ModelCheck {
+public:
+  explicit ModelCheck(const ModelView &Model) : Model_(Model) {}
+
+  std::vector<ModelError> run() {
+    checkGlobals();
+    for (std::size_t Index = 0; Index < Model_.Services_.size(); ++Index) {
+      checkService(Index);
+      checkDependencies(Index);
+      checkRoutes(Index);
+    }
+    // The graph is searched only when its size is bounded.
+    if (Model_.Services_.size() <= MaxServices) {
+      for (std::size_t Index = 0; Index < Model_.Services_.size(); ++Index)
+        visit(Index);
+      if (!CycleFound_)
+        checkChains();
+    }
+    return std::move(Errors_);
+  }
+
+private:
+  void report(ModelPlace Place, ErrorCode Code, std::string Message,
+              std::string Fix) {
+    Errors_.push_back(
+        {std::move(Place), Code, std::move(Message), std::move(Fix)});
+  }
+
+  const ServiceConfig &service(std::size_t Index) const {
+    return *Model_.Services_[Index];
+  }
+
+  void checkGlobals() {
+    if (!isValidName(Model_.Mesh_))
+      reportName({{}, {}, "mesh", {}}, "mesh", Model_.Mesh_);
+    if (Model_.Epoch_ < MinEpoch)
+      report({{}, {}, "epoch", {}}, ErrorCode::OutOfRange,
+             "epoch 0 is outside 1 to 4294967295",
+             "use 1, or the last epoch plus 1 after the source lost its "
+             "history");
+    if (Model_.Services_.empty())
+      report({{}, {}, "services", {}}, ErrorCode::OutOfRange,
+             "services has no entry", "name at least one service");
+    if (Model_.Services_.size() > MaxServices)
+      reportTooMany({{}, {}, "services", {}}, "services",
+                    Model_.Services_.size(), MaxServices);
+  }
+
+  void reportName(ModelPlace Place, std::string_view What,
+                  std::string_view Name) {
+    report(std::move(Place), ErrorCode::BadName,
+           std::string(What) + " name " + quoteText(Name) + " is not valid",
+           "use 1 to 63 characters of a-z, 0-9 and hyphen, without a hyphen "
+           "at either end");
+  }
+
+  void reportTooMany(ModelPlace Place, std::string_view What, std::size_t Count,
+                     std::size_t Limit) {
+    report(std::move(Place), ErrorCode::TooMany,
+           std::string(What) + " has " + std::to_string(Count) + " entries",
+           "use at most " + std::to_string(Limit));
+  }
+
+  void checkService(std::size_t Index) {
+    const ServiceConfig &Service = service(Index);
+    if (!isValidName(Service.Name_))
+      reportName({Index, {}, "", {}}, "service", Service.Name_);
+    if (!Indexes_.emplace(Service.Name_, Index).second)
+      report({Index, {}, "", {}}, ErrorCode::DuplicateKey,
+             "service " + quoteText(Service.Name_) + " stands twice",
+             "remove or rename one of the two");
+    checkFields(serviceFields(), Service, {Index, {}, "", {}});
+    checkFields(objectiveFields(), Service.Objective_, {Index, {}, "", {}});
+  }
+
+  template <class Owner>
+  void checkFields(std::span<const Field<Owner>> Fields, const Owner &Source,
+                   ModelPlace Place) {
+    for (const Field<Owner> &Description : Fields) {
+      auto Error = checkField(Description, Source);
+      if (!Error)
+        continue;
+      Place.Key_ = Description.Key_;
+      report(Place, Error->Code_,
+             std::string(Description.Key_) + " " + Error->Message_,
+             Error->Fix_);
+    }
+  }
+
+  void checkDependencies(std::size_t Index) {
+    const std::vector<std::string> &Names = service(Index).DependsOn_;
+    if (Names.size() > MaxDependencies)
+      reportTooMany({Index, {}, "depends_on", {}}, "depends_on", Names.size(),
+                    MaxDependencies);
+    if (AllNames_.empty())
+      for (const ServiceConfig *Service : Model_.Services_)
+        AllNames_.insert(Service->Name_);
+    std::set<std::string_view> Seen;
+    for (std::size_t Entry = 0; Entry < Names.size(); ++Entry) {
+      ModelPlace Place{Index, {}, "depends_on", Entry};
+      if (!Seen.insert(Names[Entry]).second)
+        report(Place, ErrorCode::DuplicateKey,
+               "dependency " + quoteText(Names[Entry]) + " stands twice",
+               "remove one of the two");
+      else if (!AllNames_.contains(Names[Entry]))
+        report(Place, ErrorCode::DanglingDependency,
+               "service " + quoteText(Names[Entry]) + " does not exist",
+               "add the service or remove the dependency");
+    }
+  }
+
+  void checkRoutes(std::size_t Index) {
+    const std::vector<RouteConfig> &Routes = service(Index).Routes_;
+    if (Routes.empty())
+      report({Index, {}, "routes", {}}, ErrorCode::OutOfRange,
+             "routes has no entry",
+             "name at least one route, or leave out the key for one route of "
+             "path /");
+    if (Routes.size() > MaxRoutes)
+      reportTooMany({Index, {}, "routes", {}}, "routes", Routes.size(),
+                    MaxRoutes);
+    // First route with each path and method.
+    std::map<std::pair<std::string_view, std::string_view>, std::size_t> Seen;
+    for (std::size_t Route = 0; Route < Routes.size(); ++Route) {
+      checkRoute(Index, Route);
+      std::optional<std::size_t> Earlier;
+      for (const std::string &Method : Routes[Route].Methods_) {
+        auto [Position, Inserted] =
+            Seen.try_emplace({Routes[Route].Path_, Method}, Route);
+        if (!Inserted && Position->second != Route)
+          Earlier = Position->second;
+      }
+      if (Earlier)
+        report({Index, Route, "", {}}, ErrorCode::DuplicateRoute,
+               "route " + quoteText(Routes[Route].Path_) +
+                   " has a path and a method of an earlier route",
+               "give each method of a path to one route only");
+    }
+  }
+
+  void checkRoute(std::size_t Index, std::size_t Number) {
+    const RouteConfig &Route = service(Index).Routes_[Number];
+    if (auto Error = findPathError(Route.Path_))
+      report({Index, Number, "path", {}}, ErrorCode::BadName,
+             "path " + quoteText(Route.Path_) + " " + *Error,
+             "write a path such as /bookings/rooms");
+    if (Route.Methods_.empty())
+      report({Index, Number, "methods", {}}, ErrorCode::OutOfRange,
+             "methods has no entry",
+             "name at least one method, or leave out the key for all methods");
+    std::set<std::string_view> Seen;
+    for (std::size_t Entry = 0; Entry < Route.Methods_.size(); ++Entry) {
+      const std::string &Method = Route.Methods_[Entry];
+      ModelPlace Place{Index, Number, "methods", Entry};
+      if (!Seen.insert(Method).second)
+        report(Place, ErrorCode::DuplicateKey,
+               "method " + quoteText(Method) + " stands twice",
+               "remove one of the two");
+      else if (!std::ranges::binary_search(knownMethods(), Method))
+        report(Place, ErrorCode::OutOfRange,
+               "method " + quoteText(Method) + " is not known",
+               "use DELETE, GET, HEAD, OPTIONS, PATCH, POST or PUT");
+    }
+    checkFields(routeFields(), Route, {Index, Number, "", {}});
+  }
+
+  enum class Color : std::uint8_t { White, Gray, Black };
+
+  /// Depth-first search that reports each edge which closes a cycle and
+  /// computes the longest chain below each service. Recursion is bounded by
+  /// MaxServices.
+  void visit(std::size_t Index) {
+    Colors_.resize(Model_.Services_.size(), Color::White);
+    Chains_.resize(Model_.Services_.size(), 0);
+    Next_.resize(Model_.Services_.size(), None);
+    if (Colors_[Index] != Color::White)
+      return;
+    Colors_[Index] = Color::Gray;
+    Path_.push_back(Index);
+    const std::vector<std::string> &Names = service(Index).DependsOn_;
+    for (std::size_t Entry = 0; Entry < Names.size(); ++Entry) {
+      auto Position = Indexes_.find(Names[Entry]);
+      if (Position == Indexes_.end())
+        continue;
+      std::size_t Other = Position->second;
+      if (Colors_[Other] == Color::Gray) {
+        reportCycle(Index, Entry, Other);
+        continue;
+      }
+      visit(Other);
+      if (Chains_[Other] > Chains_[Index]) {
+        Chains_[Index] = Chains_[Other];
+        Next_[Index] = Other;
+      }
+    }
+    ++Chains_[Index];
+    Path_.pop_back();
+    Colors_[Index] = Color::Black;
+  }
+
+  void reportCycle(std::size_t Index, std::size_t Entry, std::size_t Other) {
+    CycleFound_ = true;
+    std::string Cycle;
+    for (auto Position = std::ranges::find(Path_, Other);
+         Position != Path_.end(); ++Position)
+      Cycle += service(*Position).Name_ + " -> ";
+    report({Index, {}, "depends_on", Entry}, ErrorCode::CyclicDependency,
+           "services depend on each other: " + Cycle + service(Other).Name_,
+           "remove one dependency of the cycle");
+  }
+
+  /// Reports the first service of each chain that is too long.
+  void checkChains() {
+    std::set<std::size_t> Inner;
+    for (std::size_t Index = 0; Index < Model_.Services_.size(); ++Index)
+      if (Chains_[Index] > MaxChain)
+        for (const std::string &Name : service(Index).DependsOn_)
+          if (auto Position = Indexes_.find(Name); Position != Indexes_.end())
+            Inner.insert(Position->second);
+    for (std::size_t Index = 0; Index < Model_.Services_.size(); ++Index) {
+      if (Chains_[Index] <= MaxChain || Inner.contains(Index))
+        continue;
+      std::string Chain = service(Index).Name_;
+      for (std::size_t Step = Next_[Index]; Step != None; Step = Next_[Step])
+        Chain += " -> " + service(Step).Name_;
+      report({Index, {}, "", {}}, ErrorCode::TooDeepChain,
+             "chain of " + std::to_string(Chains_[Index]) +
+                 " services: " + Chain,
+             "shorten the chain to " + std::to_string(MaxChain) + " services");
+    }
+  }
+
+  const ModelView &Model_;
+  std::vector<ModelError> Errors_;
+  std::unordered_map<std::string_view, std::size_t> Indexes_;
+  std::set<std::string_view> AllNames_;
+  std::vector<Color> Colors_;
+  std::vector<std::size_t> Chains_;
+  std::vector<std::size_t> Next_;
+  std::vector<std::size_t> Path_;
+  bool CycleFound_ = false;
+};
+
+template <class Range, class Less>
+bool isStrictlySorted(const Range &Values, Less Before) {
+  return std::ranges::adjacent_find(Values, [&](const auto &A, const auto &B) {
+           return !Before(A, B);
+         }) == Values.end();
+}
+
+} // namespace
+
+ModelView viewOf(const ServiceModel &Model) {
+  ModelView View{Model.Epoch_, Model.Mesh_, {}};
+  View.Services_.reserve(Model.Services_.size());
+  for (const ServiceConfig &Service : Model.Services_)
+    View.Services_.push_back(&Service);
+  return View;
+}
+
+std::vector<ModelError> validateModel(const ModelView &Model) {
+  return ModelCheck(Model).run();
+}
+
+std::optional<std::string> findDisorder(const ModelView &Model) {
+  auto ByName = [](const ServiceConfig *A, const ServiceConfig *B) {
+    return A->Name_ < B->Name_;
+  };
+  if (!isStrictlySorted(Model.Services_, ByName))
+    return "services are not sorted";
+  for (const ServiceConfig *Service : Model.Services_) {
+    if (!isStrictlySorted(Service->DependsOn_, std::less<>()))
+      return "dependencies of " + quoteText(Service->Name_) + " are not sorted";
+    if (!isStrictlySorted(Service->Routes_, routeBefore))
+      return "routes of " + quoteText(Service->Name_) + " are not sorted";
+    for (const RouteConfig &Route : Service->Routes_)
+      if (!isStrictlySorted(Route.Methods_, std::less<>()))
+        return "methods of a route of " + quoteText(Service->Name_) +
+               " are not sorted";
+  }
+  return std::nullopt;
+}
+
+bool isValidName(std::string_view Name) {
+  return !Name.empty() && Name.size() <= MaxNameLength && Name.front() != '-' &&
+         Name.back() != '-' && std::ranges::all_of(Name, isNameCharacter);
+}
+
+} // namespace marigold::config
--- a/src/Config/Validator.h
+++ b/src/Config/Validator.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace marigold::config {
@@ -37,13 +38,26 @@
   std::string Fix_;
 };
 
+/// Content to validate, wherever it is held.
+struct ModelView {
+  /// Epoch.
+  std::uint32_t Epoch_;
+  /// Name of the mesh.
+  std::string_view Mesh_;
+  /// Services; must outlive the view.
+  std::vector<const ServiceConfig *> Services_;
+};
+
+/// View of a model, which must outlive it.
+ModelView viewOf(const ServiceModel &Model);
+
 /// Every error of a model: names, ranges, references, cycles, duplicates,
 /// numbers of entries. The order of services, routes and lists is not checked.
-std::vector<ModelError> validateModel(const ServiceModel &Model);
+std::vector<ModelError> validateModel(const ModelView &Model);
 
 /// Description of the first place that is not in the order of normalize, or
 /// nothing.
-std::optional<std::string> findDisorder(const ServiceModel &Model);
+std::optional<std::string> findDisorder(const ModelView &Model);
 
 /// True when Name has 1 to 63 characters of a-z, 0-9 and hyphen and neither
 /// begins nor ends with a hyphen.
