Add the HTTP server, client pool and GET client

Beast accepts folded header lines and a Transfer-Encoding other than chunked as a request without body; both allow request smuggling. The raw header section is therefore checked before it is parsed.

--- /dev/null
+++ b/src/Transport/HttpClientConnection.cpp
@@ -0,0 +1,219 @@
+#include "Transport/HttpClientConnection.h"
+
+#include "Transport/HttpHead.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace marigold::transport {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+HttpClientConnection::HttpClientConnection(tcp::socket Socket,
+                                           const HttpClientLimits &Limits)
+    : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()),
+      Limits_(Limits) {}
+
+void HttpClientConnection::connect(const tcp::endpoint &Target,
+                                   TimePoint Deadline,
+                                   std::function<void(Result<void>)> Callback) {
+  armTimer(
+      std::min(Deadline, std::chrono::steady_clock::now() + Limits_.Connect_));
+  Socket_.async_connect(
+      Target, [Self = shared_from_this(), Callback = std::move(Callback)](
+                  boost::system::error_code Error) {
+        Self->Timer_.cancel();
+        if (Error || Self->Closed_) {
+          bool TimedOut = Self->Closed_;
+          Self->close(ErrorCode::ConnectionFailed);
+          Callback(
+              fail(TimedOut ? ErrorCode::TimedOut : ErrorCode::ConnectionFailed,
+                   Error.message()));
+          return;
+        }
+        boost::system::error_code Ignored;
+        Self->Socket_.set_option(tcp::no_delay(true), Ignored);
+        Self->IdleSince_ = std::chrono::steady_clock::now();
+        Callback(success());
+        Self->read();
+      });
+}
+
+bool HttpClientConnection::isUsable() {
+  if (Closed_ || Done_ || Buffer_.size() != 0)
+    return false;
+  char Byte = 0;
+  ssize_t Size =
+      ::recv(Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpClientConnection::send(const HttpClientRequest &Request,
+                                Done Callback) {
+  Done_ = std::move(Callback);
+  Used_ = true;
+  Written_ = false;
+  HeadMethod_ = Request.Method_ == "HEAD";
+  Message_.emplace();
+  Message_->version(11);
+  Message_->method_string(Request.Method_);
+  Message_->target(Request.Target_);
+  Message_->set(http::field::host, Request.Host_);
+  addFields(*Message_, Request.Headers_);
+  Message_->body() = Request.Body_;
+  bool BodyExpected = Request.Method_ != "GET" && Request.Method_ != "HEAD";
+  if (BodyExpected || !Request.Body_.empty())
+    Message_->content_length(Request.Body_.size());
+  startParser();
+  armTimer(Request.Deadline_);
+  Writing_ = true;
+  // The kernel may take bytes from here on, whatever the write reports.
+  Written_ = true;
+  http::async_write(
+      Socket_, *Message_,
+      [Self = shared_from_this()](boost::system::error_code Error,
+                                  std::size_t Size) {
+        Self->Writing_ = false;
+        if (Self->Closed_ || !Error)
+          return;
+        Self->Written_ = Size != 0;
+        Self->end(fail(ErrorCode::ConnectionFailed, Error.message()), true);
+      });
+  read();
+}
+
+void HttpClientConnection::startParser() {
+  Parser_.emplace();
+  Parser_->header_limit(HttpHeaderLimit);
+  Parser_->body_limit(Limits_.Response_);
+  Parser_->eager(true);
+  if (HeadMethod_)
+    Parser_->skip(true);
+}
+
+void HttpClientConnection::armTimer(TimePoint Deadline) {
+  Timer_.expires_at(Deadline);
+  Timer_.async_wait(
+      [Self = shared_from_this()](boost::system::error_code Error) {
+        // The timer may have been set anew while this call was queued.
+        if (Error || Self->Timer_.expiry() > std::chrono::steady_clock::now())
+          return;
+        Self->close(ErrorCode::TimedOut);
+      });
+}
+
+void HttpClientConnection::read() {
+  if (Reading_ || Closed_)
+    return;
+  Reading_ = true;
+  Socket_.async_read_some(asio::buffer(Input_),
+                          [Self = shared_from_this()](
+                              boost::system::error_code Error,
+                              std::size_t Size) { Self->onRead(Error, Size); });
+}
+
+void HttpClientConnection::onRead(boost::system::error_code Error,
+                                  std::size_t Size) {
+  Reading_ = false;
+  if (Closed_)
+    return;
+  if (Error) {
+    end(fail(ErrorCode::ConnectionFailed, Error.message()), true);
+    return;
+  }
+  if (!Done_) {
+    end(fail(ErrorCode::MalformedAnswer, "bytes without a request"), false);
+    return;
+  }
+  Buffer_.commit(
+      asio::buffer_copy(Buffer_.prepare(Size), asio::buffer(Input_, Size)));
+  parse();
+  read();
+}
+
+void HttpClientConnection::parse() {
+  boost::system::error_code Error;
+  while (Buffer_.size() != 0) {
+    std::size_t Used = Parser_->put(Buffer_.data(), Error);
+    Buffer_.consume(Used);
+    if (Error == http::error::need_more) {
+      if (Buffer_.size() > HttpHeaderLimit)
+        end(fail(ErrorCode::MalformedAnswer, "unparsed bytes"), false);
+      return;
+    }
+    if (Error) {
+      bool Large = Error == http::error::body_limit;
+      end(fail(Large ? ErrorCode::AnswerTooLarge : ErrorCode::MalformedAnswer,
+               Error.message()),
+          false);
+      return;
+    }
+    if (Parser_->is_header_done() && Parser_->need_eof()) {
+      // Its end could not be told from that of a target that crashed.
+      end(fail(ErrorCode::MalformedAnswer, "a body without an end"), false);
+      return;
+    }
+    if (Parser_->is_done()) {
+      unsigned Status = Parser_->get().result_int();
+      if (Status >= 200 || Status == 101) {
+        complete();
+        return;
+      }
+      startParser();
+    } else if (Used == 0) {
+      return;
+    }
+  }
+}
+
+void HttpClientConnection::complete() {
+  auto Response = std::make_unique<HttpResponse>();
+  auto &Head = Parser_->get();
+  bool Reusable = Parser_->keep_alive() && !Writing_ && Buffer_.size() == 0 &&
+                  Head.result_int() != 101;
+  Response->Status_ = Head.result_int();
+  Response->Headers_ = endToEndFields(Head);
+  Response->Body_ = std::move(Head.body());
+  Parser_.reset();
+  if (!Writing_)
+    Message_.reset();
+  IdleSince_ = std::chrono::steady_clock::now();
+  auto Callback = std::exchange(Done_, nullptr);
+  if (!Reusable)
+    close(ErrorCode::ConnectionFailed);
+  else
+    Timer_.cancel();
+  Callback({std::move(Response), nullptr}, Reusable);
+}
+
+void HttpClientConnection::close(ErrorCode Code, std::string Detail) {
+  if (!Closed_)
+    end(fail(Code, std::move(Detail)), false);
+}
+
+void HttpClientConnection::end(Failure Why, bool Lost) {
+  if (Closed_)
+    return;
+  Closed_ = true;
+  CloseReason_ = Why;
+  boost::system::error_code Ignored;
+  Socket_.close(Ignored);
+  Timer_.cancel();
+  if (auto Callback = std::exchange(Done_, nullptr)) {
+    auto Ended = std::make_unique<HttpClientFailure>();
+    Ended->Why_ = std::move(Why);
+    Ended->Written_ = Written_;
+    Ended->Lost_ = Lost;
+    Callback({nullptr, std::move(Ended)}, false);
+  } else if (OnIdleClosed_) {
+    std::exchange(OnIdleClosed_, nullptr)();
+  }
+}
+
+} // namespace marigold::transport
--- a/src/Transport/HttpClientPool.h
+++ b/src/Transport/HttpClientPool.h
@@ -60,7 +60,7 @@
   std::uint64_t Response_ = 8 * 1024 * 1024;
   /// Longest wait for a connection to be opened.
   Duration Connect_ = std::chrono::milliseconds(500);
-  /// Idle connections are closed after this time.
+  /// A connection that was idle for longer is closed instead of being used.
   Duration Idle_ = std::chrono::seconds(20);
 };
 
--- /dev/null
+++ b/src/Transport/HttpServer.cpp
@@ -0,0 +1,136 @@
+#include "Transport/HttpServer.h"
+
+#include "Transport/HttpServerConnection.h"
+#include "Transport/Listener.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace marigold::transport {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// One timer for all connections looks for phases that have lasted too long. A
+// timer for each read and write would cost two system calls a request.
+constexpr Duration SweepMaximum = std::chrono::milliseconds(250);
+constexpr Duration SweepMinimum = std::chrono::milliseconds(5);
+
+Duration sweepInterval(const HttpServerOptions &Options) {
+  Duration Shortest = std::min({Options.HeaderTimeout_, Options.BodyTimeout_,
+                                Options.WriteTimeout_, Options.IdleTimeout_});
+  return std::clamp(Shortest / 4, SweepMinimum, SweepMaximum);
+}
+
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(asio::io_context &Io, HttpServerOptions Options)
+      : Listener_(Io), Sweep_(Io),
+        Options_(
+            std::make_shared<const HttpServerOptions>(std::move(Options))) {}
+
+  Result<void> listen(const Address &Local) {
+    BOOST_OUTCOME_TRY(
+        Listener_.listen(Local, [Weak = weak_from_this()](tcp::socket Socket) {
+          if (auto Self = Weak.lock())
+            Self->accept(std::move(Socket));
+        }));
+    std::lock_guard Lock(Mutex_);
+    armSweep();
+    return success();
+  }
+
+  void accept(tcp::socket Socket) {
+    if (*Open_ >= Options_->Connections_)
+      return;
+    auto Connection = std::make_shared<HttpServerConnection>(std::move(Socket),
+                                                             Options_, Open_);
+    {
+      std::lock_guard Lock(Mutex_);
+      if (Stopped_)
+        return;
+      Connections_.push_back(Connection);
+    }
+    Connection->start();
+  }
+
+  /// Call with the lock held: timers are not safe for several threads.
+  void armSweep() {
+    if (Stopped_)
+      return;
+    Sweep_.expires_after(sweepInterval(*Options_));
+    Sweep_.async_wait(
+        [Weak = weak_from_this()](boost::system::error_code Error) {
+          auto Self = Weak.lock();
+          if (Error || !Self)
+            return;
+          TimePoint Now = std::chrono::steady_clock::now();
+          for (const auto &Connection : Self->connections())
+            Connection->checkTimeout(Now);
+          std::lock_guard Lock(Self->Mutex_);
+          Self->armSweep();
+        });
+  }
+
+  std::vector<std::shared_ptr<HttpServerConnection>> connections() {
+    std::vector<std::shared_ptr<HttpServerConnection>> Found;
+    std::lock_guard Lock(Mutex_);
+    std::erase_if(Connections_, [&](const auto &Weak) {
+      auto Connection = Weak.lock();
+      if (!Connection)
+        return true;
+      Found.push_back(std::move(Connection));
+      return false;
+    });
+    return Found;
+  }
+
+  void drain() {
+    Listener_.stop();
+    for (const auto &Connection : connections())
+      Connection->drain();
+  }
+
+  void stop() {
+    Listener_.stop();
+    {
+      std::lock_guard Lock(Mutex_);
+      Stopped_ = true;
+      Sweep_.cancel();
+    }
+    for (const auto &Connection : connections())
+      Connection->close();
+  }
+
+  Listener Listener_;
+  std::mutex Mutex_;
+  asio::steady_timer Sweep_;
+  const std::shared_ptr<const HttpServerOptions> Options_;
+  std::shared_ptr<std::atomic<std::size_t>> Open_ =
+      std::make_shared<std::atomic<std::size_t>>(0);
+  std::vector<std::weak_ptr<HttpServerConnection>> Connections_;
+  bool Stopped_ = false;
+};
+
+HttpServer::HttpServer(asio::io_context &Io, HttpServerOptions Options)
+    : Impl_(std::make_shared<Impl>(Io, std::move(Options))) {}
+
+HttpServer::~HttpServer() { stop(); }
+
+Result<void> HttpServer::listen(const Address &Local) {
+  return Impl_->listen(Local);
+}
+
+std::uint16_t HttpServer::port() const { return Impl_->Listener_.port(); }
+
+void HttpServer::drain() { Impl_->drain(); }
+
+void HttpServer::stop() { Impl_->stop(); }
+
+} // namespace marigold::transport
--- /dev/null
+++ b/src/Transport/HttpServerConnection.cpp
@@ -0,0 +1,365 @@
+#include "Transport/HttpServerConnection.h"
+
+#include "Transport/HttpHead.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace marigold::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+// Bytes of later requests that are read while one is handled. Reading goes on
+// during that time so that a client that goes away is noticed.
+constexpr std::size_t AheadLimit = 16 * 1024;
+// Most bytes that may wait for the end of a chunk header.
+constexpr std::size_t UnparsedLimit = 64 * 1024;
+// A connection that is closed after a refusal reads on for this time. Closing
+// it with unread bytes would make the kernel send a reset, which can destroy
+// the response before the client has read it.
+constexpr auto LingerTime = std::chrono::seconds(1);
+constexpr auto NoDeadline = TimePoint::max().time_since_epoch().count();
+// RFC 9112 section 2.2: empty lines before a request are ignored.
+constexpr unsigned EmptyLines = 2;
+
+} // namespace
+
+void ServerExchange::respond(HttpResponse Response) {
+  std::shared_ptr<HttpServerConnection> Connection;
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Responded_)
+      return;
+    Responded_ = true;
+    Callback_ = nullptr;
+    Connection = std::move(Connection_);
+  }
+  if (Connection)
+    Connection->respond(std::move(Response));
+}
+
+void ServerExchange::onDisconnect(std::function<void()> Callback) {
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Responded_)
+      return;
+    if (!Gone_) {
+      Callback_ = std::move(Callback);
+      return;
+    }
+  }
+  Callback();
+}
+
+void ServerExchange::disconnected() {
+  std::function<void()> Callback;
+  {
+    std::lock_guard Lock(Mutex_);
+    Gone_ = true;
+    Connection_.reset();
+    Callback = std::exchange(Callback_, nullptr);
+  }
+  if (Callback)
+    Callback();
+}
+
+HttpServerConnection::HttpServerConnection(
+    tcp::socket Socket, std::shared_ptr<const HttpServerOptions> Options,
+    std::shared_ptr<std::atomic<std::size_t>> Open)
+    : Socket_(std::move(Socket)), Options_(std::move(Options)),
+      Open_(std::move(Open)), Deadline_(NoDeadline) {
+  ++*Open_;
+}
+
+HttpServerConnection::~HttpServerConnection() { --*Open_; }
+
+void HttpServerConnection::start() {
+  asio::dispatch(Socket_.get_executor(), [Self = shared_from_this()] {
+    boost::system::error_code Ignored;
+    Self->Socket_.set_option(tcp::no_delay(true), Ignored);
+    Self->beginPhase(Phase::Head, Self->Options_->IdleTimeout_);
+    Self->read();
+  });
+}
+
+void HttpServerConnection::beginPhase(Phase Next,
+                                      std::optional<Duration> Limit) {
+  Phase_ = Next;
+  Deadline_ = Limit ? (std::chrono::steady_clock::now() + *Limit)
+                          .time_since_epoch()
+                          .count()
+                    : NoDeadline;
+}
+
+void HttpServerConnection::read() {
+  if (Reading_ || Phase_ == Phase::Closed)
+    return;
+  bool Ahead = Phase_ == Phase::Handling || Phase_ == Phase::Writing;
+  if (Ahead && Buffer_.size() >= AheadLimit)
+    return;
+  Reading_ = true;
+  Socket_.async_read_some(asio::buffer(Input_),
+                          [Self = shared_from_this()](
+                              boost::system::error_code Error,
+                              std::size_t Size) { Self->onRead(Error, Size); });
+}
+
+void HttpServerConnection::onRead(boost::system::error_code Error,
+                                  std::size_t Size) {
+  Reading_ = false;
+  if (Phase_ == Phase::Closed)
+    return;
+  if (Error) {
+    // A client that has sent everything and closes its sending side counts as
+    // gone, too: that cannot be told from a closed connection.
+    if (Phase_ != Phase::Writing)
+      shutDown();
+    else
+      KeepAlive_ = false;
+    return;
+  }
+  if (Phase_ != Phase::Lingering) {
+    Buffer_.commit(
+        asio::buffer_copy(Buffer_.prepare(Size), asio::buffer(Input_, Size)));
+    advance();
+  }
+  read();
+}
+
+void HttpServerConnection::advance() {
+  // A handler may respond directly, which ends in another call of this
+  // function; the loop below then continues instead.
+  if (Advancing_)
+    return;
+  Advancing_ = true;
+  for (bool Again = true; Again;) {
+    Phase Before = Phase_;
+    std::size_t Size = Buffer_.size();
+    if (Phase_ == Phase::Head)
+      parseHead();
+    else if (Phase_ == Phase::Body)
+      parseBody();
+    Again = (Phase_ != Before || Buffer_.size() != Size) &&
+            (Phase_ == Phase::Head || Phase_ == Phase::Body);
+  }
+  Advancing_ = false;
+}
+
+void HttpServerConnection::parseHead() {
+  auto View = [this] {
+    return std::string_view(static_cast<const char *>(Buffer_.data().data()),
+                            Buffer_.size());
+  };
+  for (unsigned Line = 0; Line < EmptyLines && View().starts_with("\r\n");
+       ++Line)
+    Buffer_.consume(2);
+  if (Buffer_.size() == 0)
+    return;
+  std::size_t End = findHeadEnd(View());
+  if (std::min(End, Buffer_.size()) > HttpHeaderLimit) {
+    refuse(ErrorCode::HeaderTooLarge);
+    return;
+  }
+  if (End == std::string_view::npos) {
+    // The limit for the section runs from its first byte; further bytes do not
+    // extend it.
+    if (!Parser_) {
+      Parser_.emplace();
+      beginPhase(Phase::Head, Options_->HeaderTimeout_);
+    }
+    return;
+  }
+  if (auto Code = checkHead(View().substr(0, End))) {
+    refuse(*Code);
+    return;
+  }
+  Parser_.emplace();
+  Parser_->header_limit(HttpHeaderLimit + 1);
+  Parser_->body_limit(boost::none);
+  Parser_->eager(false);
+  boost::system::error_code Error;
+  std::size_t Used = Parser_->put(asio::buffer(Buffer_.data(), End), Error);
+  if (Error || !Parser_->is_header_done()) {
+    refuse(Error == http::error::header_limit ? ErrorCode::HeaderTooLarge
+                                              : ErrorCode::MalformedRequest);
+    return;
+  }
+  Buffer_.consume(Used);
+  if (auto Code = checkRequest(Parser_->get())) {
+    refuse(*Code);
+    return;
+  }
+  // Fields are taken before the body, so that trailer fields of a chunked body
+  // do not mix with them.
+  Request_ = toRequest(Parser_->get());
+  KeepAlive_ = Parser_->keep_alive();
+  HeadMethod_ = Parser_->get().method() == http::verb::head;
+  if (Parser_->is_done())
+    handle();
+  else
+    acceptBody();
+}
+
+void HttpServerConnection::acceptBody() {
+  std::uint64_t Limit =
+      Options_->BodyLimit_ ? Options_->BodyLimit_(Request_) : 64 * 1024;
+  auto Length = Parser_->content_length();
+  if (Length && *Length > Limit) {
+    refuse(ErrorCode::BodyTooLarge);
+    return;
+  }
+  Parser_->body_limit(Limit);
+  Parser_->eager(true);
+  beginPhase(Phase::Body, Options_->BodyTimeout_);
+  if (http::token_list(Parser_->get()[http::field::expect])
+          .exists("100-continue") &&
+      Buffer_.size() == 0) {
+    Continue_ = "HTTP/1.1 100 Continue\r\n\r\n";
+    // No other write can be in progress: the response follows the body.
+    boost::system::error_code Ignored;
+    Socket_.non_blocking(true, Ignored);
+    Socket_.write_some(asio::buffer(Continue_), Ignored);
+  }
+}
+
+void HttpServerConnection::parseBody() {
+  boost::system::error_code Error;
+  while (!Parser_->is_done() && Buffer_.size() != 0) {
+    std::size_t Used = Parser_->put(Buffer_.data(), Error);
+    Buffer_.consume(Used);
+    if (Error == http::error::need_more && Buffer_.size() < UnparsedLimit)
+      return;
+    if (Error) {
+      refuse(Error == http::error::body_limit ? ErrorCode::BodyTooLarge
+                                              : ErrorCode::MalformedRequest);
+      return;
+    }
+    if (Used == 0)
+      return;
+  }
+  if (!Parser_->is_done())
+    return;
+  Request_.Body_ = std::move(Parser_->get().body());
+  handle();
+}
+
+void HttpServerConnection::handle() {
+  Parser_.reset();
+  beginPhase(Phase::Handling, std::nullopt);
+  Exchange_ = std::make_shared<ServerExchange>(shared_from_this());
+  Options_->OnRequest_(std::exchange(Request_, {}), Exchange_);
+}
+
+void HttpServerConnection::refuse(ErrorCode Code) {
+  Parser_.reset();
+  if (Options_->OnRefused_)
+    Options_->OnRefused_(Code);
+  write(errorResponse(Code), true);
+}
+
+void HttpServerConnection::respond(HttpResponse Response) {
+  asio::dispatch(
+      Socket_.get_executor(),
+      [Self = shared_from_this(), Response = std::move(Response)]() mutable {
+        if (Self->Phase_ != Phase::Handling)
+          return;
+        Self->Exchange_.reset();
+        Self->write(std::move(Response), !Self->KeepAlive_ || Self->Draining_);
+      });
+}
+
+void HttpServerConnection::write(HttpResponse Response, bool Close) {
+  KeepAlive_ = !Close;
+  unsigned Status = Response.Status_;
+  if (Status < 200 || Status > 999)
+    Status = 502;
+  Message_.emplace();
+  Message_->version(11);
+  Message_->result(Status);
+  addFields(*Message_, Response.Headers_);
+  if (Close)
+    Message_->set(http::field::connection, "close");
+  if (!HeadMethod_ && Status != 204 && Status != 304) {
+    Message_->body() = std::move(Response.Body_);
+    Message_->content_length(Message_->body().size());
+  }
+  HeadMethod_ = false;
+  beginPhase(Phase::Writing, Options_->WriteTimeout_);
+  http::async_write(
+      Socket_, *Message_,
+      [Self = shared_from_this()](boost::system::error_code Error,
+                                  std::size_t) { Self->onWritten(Error); });
+}
+
+void HttpServerConnection::onWritten(boost::system::error_code Error) {
+  Message_.reset();
+  if (Phase_ == Phase::Closed)
+    return;
+  if (Error) {
+    shutDown();
+    return;
+  }
+  if (!KeepAlive_) {
+    boost::system::error_code Ignored;
+    Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
+    Buffer_.clear();
+    beginPhase(Phase::Lingering, LingerTime);
+    read();
+    return;
+  }
+  beginPhase(Phase::Head, Options_->IdleTimeout_);
+  advance();
+  read();
+}
+
+void HttpServerConnection::checkTimeout(TimePoint Now) {
+  if (Now.time_since_epoch().count() < Deadline_)
+    return;
+  asio::dispatch(Socket_.get_executor(), [Self = shared_from_this()] {
+    auto Current = std::chrono::steady_clock::now().time_since_epoch().count();
+    if (Current >= Self->Deadline_)
+      Self->onTimeout();
+  });
+}
+
+void HttpServerConnection::onTimeout() {
+  // Parser_ is set while a header section has begun.
+  bool Begun = (Phase_ == Phase::Head && Parser_) || Phase_ == Phase::Body;
+  if (Begun)
+    refuse(ErrorCode::RequestTimeout);
+  else
+    shutDown();
+}
+
+void HttpServerConnection::drain() {
+  asio::dispatch(Socket_.get_executor(), [Self = shared_from_this()] {
+    Self->Draining_ = true;
+    if (Self->Phase_ == Phase::Head && !Self->Parser_)
+      Self->shutDown();
+    else if (Self->Phase_ == Phase::Writing)
+      Self->KeepAlive_ = false;
+  });
+}
+
+void HttpServerConnection::close() {
+  asio::dispatch(Socket_.get_executor(),
+                 [Self = shared_from_this()] { Self->shutDown(); });
+}
+
+void HttpServerConnection::shutDown() {
+  if (Phase_ == Phase::Closed)
+    return;
+  beginPhase(Phase::Closed, std::nullopt);
+  boost::system::error_code Ignored;
+  Socket_.close(Ignored);
+  if (auto Exchange = std::exchange(Exchange_, nullptr))
+    Exchange->disconnected();
+}
+
+} // namespace marigold::transport
--- /dev/null
+++ b/src/Transport/HttpServerConnection.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "Transport/HttpServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <optional>
+
+namespace marigold::transport {
+
+class HttpServerConnection;
+
+/// Hands the response of one request to its connection.
+class ServerExchange : public HttpExchange {
+public:
+  explicit ServerExchange(std::shared_ptr<HttpServerConnection> Connection)
+      : Connection_(std::move(Connection)) {}
+
+  void respond(HttpResponse Response) override;
+  void onDisconnect(std::function<void()> Callback) override;
+
+  /// The client went away.
+  void disconnected();
+
+private:
+  std::mutex Mutex_;
+  std::shared_ptr<HttpServerConnection> Connection_;
+  std::function<void()> Callback_;
+  bool Responded_ = false;
+  bool Gone_ = false;
+};
+
+/// One connection of a client. All members belong to its strand, except for
+/// those that say otherwise.
+class HttpServerConnection
+    : public std::enable_shared_from_this<HttpServerConnection> {
+public:
+  /// Options must outlive the connection; Open counts open connections.
+  HttpServerConnection(boost::asio::ip::tcp::socket Socket,
+                       std::shared_ptr<const HttpServerOptions> Options,
+                       std::shared_ptr<std::atomic<std::size_t>> Open);
+  ~HttpServerConnection();
+  HttpServerConnection(const HttpServerConnection &) = delete;
+  HttpServerConnection &operator=(const HttpServerConnection &) = delete;
+
+  /// Reads from now on. Any thread.
+  void start();
+
+  /// Sends a response; does nothing unless a request waits for one. Any
+  /// thread.
+  void respond(HttpResponse Response);
+
+  /// Acts on a phase that has lasted too long. Any thread.
+  void checkTimeout(TimePoint Now);
+
+  /// Closes the connection when it is idle, otherwise after the response in
+  /// progress. Any thread.
+  void drain();
+
+  /// Closes the connection. Any thread.
+  void close();
+
+private:
+  enum class Phase : std::uint8_t {
+    Head,
+    Body,
+    Handling,
+    Writing,
+    Lingering,
+    Closed
+  };
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Message = boost::beast::http::response<boost::beast::http::string_body>;
+
+  void read();
+  void onRead(boost::system::error_code Error, std::size_t Size);
+  void advance();
+  void parseHead();
+  void acceptBody();
+  void parseBody();
+  void handle();
+  void refuse(ErrorCode Code);
+  void write(HttpResponse Response, bool Close);
+  void onWritten(boost::system::error_code Error);
+  void beginPhase(Phase Next, std::optional<Duration> Limit);
+  void onTimeout();
+  void shutDown();
+
+  boost::asio::ip::tcp::socket Socket_;
+  const std::shared_ptr<const HttpServerOptions> Options_;
+  const std::shared_ptr<std::atomic<std::size_t>> Open_;
+  // Bytes are read here first: a read stays in progress while Buffer_ is
+  // consumed.
+  std::array<char, 8 * 1024> Input_;
+  boost::beast::flat_buffer Buffer_;
+  std::optional<Parser> Parser_;
+  HttpRequest Request_;
+  std::shared_ptr<ServerExchange> Exchange_;
+  std::optional<Message> Message_;
+  std::string Continue_;
+  Phase Phase_ = Phase::Head;
+  bool Reading_ = false;
+  bool KeepAlive_ = false;
+  bool HeadMethod_ = false;
+  bool Draining_ = false;
+  bool Advancing_ = false;
+  // Read by the sweep of the server from another thread.
+  std::atomic<TimePoint::rep> Deadline_;
+};
+
+} // namespace marigold::transport
--- a/src/Transport/PeerStreams.cpp
+++ b/src/Transport/PeerStreams.cpp
@@ -292,7 +292,11 @@
   if (Accepted_.size() >= Limits.Streams_ ||
       (Value.BodySize_ != 0 &&
        Receiving_ + Value.BodySize_ > Limits.Reception_)) {
-    refuseOnStrand(refusal(Stream, ErrorCode::QueueFull));
+    // An earlier request with this key may have run, and the key is not
+    // released here, so that not-run cannot be claimed.
+    refuseOnStrand(refusal(Stream, Value.Key_.empty()
+                                       ? ErrorCode::QueueFull
+                                       : ErrorCode::KeyOwnerUnreachable));
     return success();
   }
   if (auto Refusal = Handler_.onCallStart(shared_from_this(), Value)) {
