--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -75,7 +75,7 @@
   std::uint32_t Queue_ = 0;
   /// Whether the limit adapts to latency (setting adaptive-limit).
   bool Adaptive_ = true;
-  AdaptiveLimitSettings AdaptiveSettings_;
+  AdaptiveLimitSettings AdaptiveSettings_ = {};
 };
 
 /// Slots and queue of the target beside this node. Every request passes here,
--- /dev/null
+++ b/unittests/TestSeed.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Support/Random.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+namespace marigold {
+
+/// Runs Body(Rng) for Count fixed seeds, or for the one in the environment
+/// variable MARIGOLD_TEST_SEED. A failure prints the seed.
+template <class Callable> void forEachSeed(std::uint64_t Count, Callable Body) {
+  std::uint64_t First = 1;
+  if (const char *Text = std::getenv("MARIGOLD_TEST_SEED")) {
+    First = std::stoull(Text);
+    Count = 1;
+  }
+  for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
+    INFO("MARIGOLD_TEST_SEED=" << Seed);
+    Random Rng(Seed);
+    Body(Rng);
+  }
+}
+
+} // namespace marigold
