--- /dev/null
+++ b/unittests/Control/ControlHarness.cpp
@@ -0,0 +1,180 @@
+#include "ControlHarness.h"
+
+#include "Support/Addresses.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold::node {
+
+std::string textWithSlots(unsigned Slots, unsigned Epoch) {
+  return "epoch: " + std::to_string(Epoch) +
+         "\nmesh: test\nservices:\n  desk:\n    slots: " +
+         std::to_string(Slots) +
+         "\n    routes:\n      - path: /\n        methods: [GET]\n";
+}
+
+HostRecord ControlHarness::recordOf(unsigned Number,
+                                    const std::string &FailureDomain) {
+  HostRecord Own;
+  Own.Id_ = idOf(Number);
+  Own.Incarnation_ = ++Incarnation_;
+  Own.Sequence_ = 1;
+  Own.State_ = HostState::Starting;
+  Own.Service_ = "desk";
+  Own.FailureDomain_ = FailureDomain;
+  Own.Region_ = "test";
+  Own.CallerPort_ = 7480;
+  Own.AdminPort_ = 7490;
+  return Own;
+}
+
+void ControlHarness::add(unsigned Number, const std::string &FailureDomain) {
+  Node &Added = Nodes_[Number];
+  const char *Arguments[] = {"marigold-node", nullptr};
+  auto Parsed = parseSettings<NodeSettings>(
+      1, Arguments, "", [](const std::string &) { return std::nullopt; });
+  REQUIRE(Parsed);
+  Added.Settings_ = Parsed.value().Settings_;
+  Added.Settings_.Mesh_ = "test";
+  Added.Settings_.FailureDomain_ = FailureDomain;
+  Added.Settings_.Seeds_ = {toAddress(idOf(1)), toAddress(idOf(2))};
+  Added.Settings_.PeerAddress_ = toAddress(idOf(Number));
+  restart(Number);
+}
+
+void ControlHarness::restart(unsigned Number) {
+  Node &Restarted = Nodes_.at(Number);
+  Restarted.Up_ = true;
+  Restarted.Adopted_.clear();
+  Watches_.erase(Number);
+  Restarted.Core_ = std::make_unique<ControlCore>(
+      Restarted.Settings_, recordOf(Number, Restarted.Settings_.FailureDomain_),
+      Rng_.next(), Now_);
+  ControlEffects Effects;
+  Restarted.Core_->setOwnState(HostState::Ready, Now_, Effects);
+  carryOut(Number, std::move(Effects));
+}
+
+void ControlHarness::run(Duration Length) {
+  TimePoint End = Now_ + Length;
+  while (Now_ < End) {
+    Now_ += std::chrono::milliseconds(50);
+    for (auto &[Number, Each] : Nodes_) {
+      if (!Each.Up_)
+        continue;
+      ControlEffects Effects;
+      Each.Core_->tick(Now_, Effects);
+      carryOut(Number, std::move(Effects));
+    }
+    deliver();
+    for (auto &[Number, Each] : Nodes_)
+      checkNoStepBack(Number);
+  }
+}
+
+void ControlHarness::checkNoStepBack(unsigned Number) {
+  const auto &Adopted = Nodes_.at(Number).Adopted_;
+  for (std::size_t Index = 1; Index < Adopted.size(); ++Index)
+    REQUIRE(Adopted[Index - 1] < Adopted[Index]);
+}
+
+bool ControlHarness::connected(unsigned Left, unsigned Right) const {
+  return Side_.contains(Left) == Side_.contains(Right);
+}
+
+void ControlHarness::carryOut(unsigned Number, ControlEffects Effects) {
+  Node &From = Nodes_.at(Number);
+  for (const auto &Event : Effects.Adopted_)
+    From.Adopted_.push_back(Event.Version_);
+  From.Refused_.insert(From.Refused_.end(), Effects.Refused_.begin(),
+                       Effects.Refused_.end());
+  From.BootstrapDone_.insert(From.BootstrapDone_.end(),
+                             Effects.BootstrapDone_.begin(),
+                             Effects.BootstrapDone_.end());
+  From.Pauses_.insert(From.Pauses_.end(), Effects.Pauses_.begin(),
+                      Effects.Pauses_.end());
+  for (auto &Datagram : Effects.Datagrams_) {
+    unsigned To = Datagram.To_.Ipv4_ - 0x7f000000;
+    Queue_.push_back({Number, To, [this, To, Data = Datagram.Data_] {
+                        ControlEffects Out;
+                        REQUIRE(
+                            Nodes_.at(To).Core_->onDatagram(Data, Now_, Out));
+                        carryOut(To, std::move(Out));
+                      }});
+  }
+  for (auto &Sync : Effects.Syncs_) {
+    unsigned To = Sync.To_.Ipv4_ - 0x7f000000;
+    Queue_.push_back(
+        {Number, To, [this, Number, To, Request = Sync.Request_] {
+           SyncReply Reply = Nodes_.at(To).Core_->answer(Request, Now_);
+           Queue_.push_back({To, Number, [this, Number, To, Reply] {
+                               ControlEffects Out;
+                               Nodes_.at(Number).Core_->onSyncReply(
+                                   idOf(To), Reply, Now_, Out);
+                               carryOut(Number, std::move(Out));
+                             }});
+         }});
+  }
+  for (const auto &Action : Effects.Source_)
+    callSource(Number, Action);
+}
+
+void ControlHarness::callSource(unsigned Number,
+                                const distribution::SourceAction &Action) {
+  ++Source_.Calls_;
+  ControlCore &Core = *Nodes_.at(Number).Core_;
+  ControlEffects Out;
+  if (const auto *Watch = std::get_if<distribution::WatchKeys>(&Action)) {
+    if (Source_.Down_)
+      Core.onSourceFailure(distribution::SourceCall::Keys, Now_, Out);
+    else
+      Watches_[Number].push_back({Watch->Index_, Now_ + Watch->Wait_});
+  } else if (std::holds_alternative<distribution::FetchText>(Action)) {
+    ++Source_.TextFetches_;
+    if (Source_.Down_)
+      Core.onSourceFailure(distribution::SourceCall::Text, Now_, Out);
+    else
+      Core.onSourceText(readSourceText(Source_.Text_, Source_.Index_,
+                                       Nodes_.at(Number).Settings_),
+                        Now_, Out);
+  } else {
+    Core.onSourceFailure(distribution::SourceCall::Hosts, Now_, Out);
+  }
+  carryOut(Number, std::move(Out));
+}
+
+void ControlHarness::deliver() {
+  auto Watches = std::exchange(Watches_, {});
+  for (auto &[Number, Waiting] : Watches)
+    for (auto &[Index, Until] : Waiting) {
+      if (!Nodes_.at(Number).Up_)
+        continue;
+      if (Index == Source_.Index_ && Now_ < Until && !Source_.Down_) {
+        Watches_[Number].push_back({Index, Until});
+        continue;
+      }
+      ControlEffects Out;
+      if (Source_.Down_)
+        Nodes_.at(Number).Core_->onSourceFailure(distribution::SourceCall::Keys,
+                                                 Now_, Out);
+      else
+        Nodes_.at(Number).Core_->onSourceKeys(Source_.Index_, Now_, Out);
+      carryOut(Number, std::move(Out));
+    }
+  while (!Queue_.empty()) {
+    Message Next = std::move(Queue_.front());
+    Queue_.pop_front();
+    bool Known = Nodes_.contains(Next.To_) && Nodes_.at(Next.To_).Up_;
+    if (Known && connected(Next.From_, Next.To_))
+      Next.Deliver_();
+  }
+}
+
+bool ControlHarness::allHave(std::uint64_t Revision) const {
+  for (const auto &[Number, Each] : Nodes_)
+    if (Each.Up_ && Each.Core_->versions().version().Revision_ != Revision)
+      return false;
+  return true;
+}
+
+} // namespace marigold::node
