--- a/src/Config/Limits.h
+++ b/src/Config/Limits.h
@@ -21,6 +21,9 @@
 inline constexpr std::size_t MaxDependencies = 64;
 /// Most routes of one service.
 inline constexpr std::size_t MaxRoutes = 64;
+/// Most methods of one route, with room for repeated ones, which are reported
+/// one by one.
+inline constexpr std::size_t MaxMethods = 16;
 /// Most services in one chain of dependencies, the planned depth of calls.
 inline constexpr std::size_t MaxChain = 12;
 /// Longest name of a service or mesh, as for a host name's label.
--- a/src/Config/TextParser.cpp
+++ b/src/Config/TextParser.cpp
@@ -90,6 +90,18 @@
     return false;
   }
 
+  /// Reports a list or mapping with too many entries, which is then not read:
+  /// the memory that a text can claim stays in proportion to a valid one.
+  bool isWithin(const TextNode &Node, std::string_view What, std::size_t Count,
+                std::size_t Limit) {
+    if (Count <= Limit)
+      return true;
+    report(Node, ErrorCode::TooMany,
+           std::string(What) + " has " + std::to_string(Count) + " entries",
+           "use at most " + std::to_string(Limit));
+    return false;
+  }
+
   /// Reports unknown and duplicate keys of a mapping.
   void checkKeys(const TextNode &Mapping, std::string_view What,
                  std::initializer_list<std::string_view> Known) {
@@ -151,7 +163,8 @@
   }
 
   bool readServices(const TextNode &Node) {
-    if (!isMapping(Node, "services", "one key per service"))
+    if (!isMapping(Node, "services", "one key per service") ||
+        !isWithin(Node, "services", Node.Children_.size() / 2, MaxServices))
       return false;
     bool Complete = true;
     for (std::size_t Index = 0; Index < Node.Children_.size(); Index += 2) {
@@ -182,7 +195,8 @@
                "objective", "routes"});
     readFields(serviceFields(), Value, Service);
     if (const TextNode *Node = Value.find("depends_on"))
-      readNames(*Node, "depends_on", Service.DependsOn_, Nodes.DependsOn_);
+      readNames(*Node, "depends_on", Service.DependsOn_, Nodes.DependsOn_,
+                MaxDependencies);
     if (const TextNode *Node = Value.find("objective");
         Node != nullptr &&
         isMapping(*Node, "objective", "availability, latency, latency_ratio")) {
@@ -191,7 +205,8 @@
       readFields(objectiveFields(), *Node, Service.Objective_);
     }
     if (const TextNode *Node = Value.find("routes");
-        Node != nullptr && isList(*Node, "routes"))
+        Node != nullptr && isList(*Node, "routes") &&
+        isWithin(*Node, "routes", Node->Children_.size(), MaxRoutes))
       readRoutes(*Node, Service, Nodes);
   }
 
@@ -217,8 +232,9 @@
 
   void readNames(const TextNode &Node, std::string_view What,
                  std::vector<std::string> &Names,
-                 std::vector<const TextNode *> &Nodes) {
-    if (!isList(Node, What))
+                 std::vector<const TextNode *> &Nodes, std::size_t Limit) {
+    if (!isList(Node, What) ||
+        !isWithin(Node, What, Node.Children_.size(), Limit))
       return;
     std::vector<std::string> Read;
     for (const TextNode &Entry : Node.Children_) {
@@ -247,7 +263,8 @@
       const TextNode *Path = requireKey(Node, "a route", "path");
       bool HasPath = Path != nullptr && readText(*Path, "path", Route.Path_);
       if (const TextNode *Methods = Node.find("methods"))
-        readNames(*Methods, "methods", Route.Methods_, Places.Methods_);
+        readNames(*Methods, "methods", Route.Methods_, Places.Methods_,
+                  MaxMethods);
       readFields(routeFields(), Node, Route);
       // Without a path nothing else can be said about the route.
       if (!HasPath)
--- a/src/Config/TextTree.cpp
+++ b/src/Config/TextTree.cpp
@@ -60,6 +60,11 @@
     // The parser gives the tag "!" to scalars that are not plain.
     Node.Quoted_ = Tag == "!";
     Node.Text_ = Value;
+    if (Node.Quoted_ && !isClosed(Mark)) {
+      report(Mark, ErrorCode::TextSyntax, "a quote is not closed",
+             "add the closing quote");
+      throw StopParsing();
+    }
     add(std::move(Node));
   }
 
@@ -98,20 +103,41 @@
 
   /// True when a node's properties or an alias begin at the place.
   bool hasProperty(const YAML::Mark &Mark) const {
-    if (Mark.is_null() || Mark.line < 0 || Mark.column < 0 ||
-        static_cast<std::size_t>(Mark.line) >= LineStarts_.size())
-      return false;
-    std::size_t Offset = LineStarts_[static_cast<std::size_t>(Mark.line)] +
-                         static_cast<std::size_t>(Mark.column);
-    return Offset < Text_.size() &&
-           std::string_view("&*!").find(Text_[Offset]) !=
-               std::string_view::npos;
+    std::string_view Rest = textAt(Mark);
+    return Rest.starts_with('&') || Rest.starts_with('*') ||
+           Rest.starts_with('!');
   }
 
   /// The tree after the last event; nothing for an empty text.
   std::optional<TextNode> takeRoot() { return std::move(Root_); }
 
 private:
+  /// The text from a place on; empty for an unknown place.
+  std::string_view textAt(const YAML::Mark &Mark) const {
+    if (Mark.is_null() ||
+        static_cast<std::size_t>(Mark.line) >= LineStarts_.size())
+      return {};
+    std::size_t Offset = LineStarts_[static_cast<std::size_t>(Mark.line)] +
+                         static_cast<std::size_t>(Mark.column);
+    return Text_.substr(std::min(Offset, Text_.size()));
+  }
+
+  /// True unless a quoted scalar begins at the place and has no end. yaml-cpp
+  /// 0.7 ends such a scalar at a line break before the end of the text, so
+  /// that a text cut short would be accepted.
+  bool isClosed(const YAML::Mark &Mark) const {
+    std::string_view Rest = textAt(Mark);
+    if (!Rest.starts_with('\'') && !Rest.starts_with('"'))
+      return true;
+    for (std::size_t Offset = 1; Offset < Rest.size(); ++Offset) {
+      if (Rest[Offset] == Rest.front())
+        return true;
+      if (Rest[Offset] == '\\' && Rest.front() == '"')
+        ++Offset;
+    }
+    return false;
+  }
+
   TextNode makeNode(NodeKind Kind, const YAML::Mark &Mark) {
     if (++Count_ > MaxTextNodes) {
       report(Mark, ErrorCode::TooMany,
@@ -153,10 +179,18 @@
   }
 
   void add(TextNode Node) {
-    if (Open_.empty())
+    if (Open_.empty()) {
       Root_ = std::move(Node);
-    else
-      Open_.back().Children_.push_back(std::move(Node));
+      return;
+    }
+    TextNode &Parent = Open_.back();
+    // A missing value has no place of its own.
+    if (Node.Kind_ == NodeKind::Null && Parent.Kind_ == NodeKind::Mapping &&
+        Parent.Children_.size() % 2 == 1) {
+      Node.Line_ = Parent.Children_.back().Line_;
+      Node.Column_ = Parent.Children_.back().Column_;
+    }
+    Parent.Children_.push_back(std::move(Node));
   }
 
   std::string_view Text_;
--- a/src/Config/Validator.cpp
+++ b/src/Config/Validator.cpp
@@ -193,6 +193,9 @@
       report({Index, Number, "path", {}}, ErrorCode::BadName,
              "path " + quoteText(Route.Path_) + " " + *Error,
              "write a path such as /bookings/rooms");
+    if (Route.Methods_.size() > MaxMethods)
+      reportTooMany({Index, Number, "methods", {}}, "methods",
+                    Route.Methods_.size(), MaxMethods);
     if (Route.Methods_.empty())
       report({Index, Number, "methods", {}}, ErrorCode::OutOfRange,
              "methods has no entry",
