--- a/src/Routing/ChoiceStrategy.cpp
+++ b/src/Routing/ChoiceStrategy.cpp
@@ -15,38 +15,51 @@
 /// Draws until a host in slow start is passed over for the last time.
 constexpr int MaxDraws = 4;
 
+/// Largest weight; the others count relative to it, so that hosts that all
+/// started together share the calls evenly.
+double heaviest(std::span<const Candidate> Candidates) {
+  double Largest = 0;
+  for (const Candidate &Host : Candidates)
+    Largest = std::max(Largest, Host.Weight_);
+  return Largest;
+}
+
+/// Whether a drawn host takes the call in spite of its slow start.
+bool accepts(const Candidate &Host, double Heaviest, Random &Rng) {
+  return Host.Weight_ >= Heaviest || Rng.chance(Host.Weight_ / Heaviest);
+}
+
 /// A random position at which each host's probability grows with its weight.
-std::size_t draw(std::span<const Candidate> Candidates, Random &Rng) {
+std::size_t draw(std::span<const Candidate> Candidates, double Heaviest,
+                 Random &Rng) {
   std::size_t Position = 0;
   for (int Draw = 0; Draw < MaxDraws; ++Draw) {
     Position = Rng.below(Candidates.size());
-    if (Candidates[Position].Weight_ >= 1 ||
-        Rng.chance(Candidates[Position].Weight_))
+    if (accepts(Candidates[Position], Heaviest, Rng))
       break;
   }
   return Position;
 }
 
-/// The cheaper of two random hosts.
+/// The cheaper of two random hosts. The weight is in the draws alone: in the
+/// cost as well it would keep a fresh host from every call while the others
+/// are idle.
 std::size_t drawCheaper(std::span<const Candidate> Candidates, Random &Rng) {
-  std::size_t First = draw(Candidates, Rng);
+  double Heaviest = heaviest(Candidates);
+  std::size_t First = draw(Candidates, Heaviest, Rng);
   if (Candidates.size() == 1)
     return First;
-  std::size_t Second = draw(Candidates, Rng);
-  if (Second == First)
-    Second = (First + 1 + Rng.below(Candidates.size() - 1)) % Candidates.size();
-  // A host in slow start is rarely drawn; the second draw must not bring it
-  // back merely because it is idle.
-  double FirstCost = Candidates[First].Cost_ / Candidates[First].Weight_;
-  double SecondCost = Candidates[Second].Cost_ / Candidates[Second].Weight_;
-  return SecondCost < FirstCost ? Second : First;
+  std::size_t Second =
+      (First + 1 + Rng.below(Candidates.size() - 1)) % Candidates.size();
+  bool Cheaper = Candidates[Second].Cost_ < Candidates[First].Cost_;
+  return Cheaper && accepts(Candidates[Second], Heaviest, Rng) ? Second : First;
 }
 
 class RandomChoice : public ChoiceStrategy {
 public:
   std::size_t pick(std::span<const Candidate> Candidates,
                    Random &Rng) override {
-    return draw(Candidates, Rng);
+    return draw(Candidates, heaviest(Candidates), Rng);
   }
 };
 
@@ -57,10 +70,10 @@
     // Nodes that start together must not walk through the hosts in step.
     if (Next_ == 0)
       Next_ = 1 + Rng.below(Candidates.size());
+    double Heaviest = heaviest(Candidates);
     for (std::size_t Step = 0; Step < Candidates.size(); ++Step) {
       std::size_t Position = Next_++ % Candidates.size();
-      if (Candidates[Position].Weight_ >= 1 ||
-          Rng.chance(Candidates[Position].Weight_))
+      if (accepts(Candidates[Position], Heaviest, Rng))
         return Position;
     }
     return Next_++ % Candidates.size();
@@ -95,7 +108,7 @@
         continue;
       const Candidate &Pick = Group[drawCheaper(Group, Rng)];
       // A nearer host wins a tie of two full ones.
-      if (!Best || Pick.Cost_ / Pick.Weight_ < Best->Cost_ / Best->Weight_)
+      if (!Best || Pick.Cost_ < Best->Cost_)
         Best = &Pick;
       if (Best->Utilization_ < SpillUtilization)
         break;
--- /dev/null
+++ b/unittests/Routing/Hosts.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Routing/Pool.h"
+
+namespace marigold::routing {
+
+/// A ready host with a number as address.
+inline HostRecord makeHost(std::uint32_t Number, std::string Domain,
+                           std::string Region = "west") {
+  HostRecord Host;
+  Host.Id_ = {Number, 7400};
+  Host.Incarnation_ = 1;
+  Host.State_ = HostState::Ready;
+  Host.FailureDomain_ = std::move(Domain);
+  Host.Region_ = std::move(Region);
+  return Host;
+}
+
+/// Place of a caller in failure domain a of region west.
+inline Place makePlace(std::uint32_t Number = 1000) {
+  return {{Number, 7400}, "a", "west"};
+}
+
+} // namespace marigold::routing
