Measure the latency baseline anew instead of letting it drift

A drifting baseline follows the latency of a long overload, after which the limit returns to the configured slots. A short measurement at a quarter of the limit sees the latency without queueing.

--- a/src/Admission/AdaptiveLimit.cpp
+++ b/src/Admission/AdaptiveLimit.cpp
@@ -9,6 +9,9 @@
 /// Largest fall of the limit in one window.
 constexpr double LowestGradient = 0.5;
 
+/// Divisor of the limit while the baseline is measured.
+constexpr double ProbeDivisor = 4;
+
 /// Factor on the limit after a window with failures.
 constexpr double FailureFactor = 0.9;
 
@@ -45,11 +48,14 @@
 void AdaptiveLimit::reset() {
   Limit_ = Slots_;
   Baseline_ = Duration::zero();
+  Windows_ = 0;
+  ProbeLeft_ = 0;
   clearWindow();
 }
 
 std::uint32_t AdaptiveLimit::limit() const {
-  return std::clamp(static_cast<std::uint32_t>(Limit_), 1U, Slots_);
+  double Allowed = ProbeLeft_ > 0 ? Limit_ / ProbeDivisor : Limit_;
+  return std::clamp(static_cast<std::uint32_t>(Allowed), 1U, Slots_);
 }
 
 void AdaptiveLimit::closeWindow() {
@@ -57,12 +63,16 @@
   bool Limited = LimitedSamples_ * 2 >= Samples_;
   bool Failing = Failures_ > FailureRatio * Samples_;
   clearWindow();
-  Duration Aged = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, Duration::period>(Baseline_) *
-      Settings_.BaselineDrift_);
+  if (ProbeLeft_ > 0) {
+    // Runs that began before the measurement end in its first window.
+    if (--ProbeLeft_ == 0 && !Failing)
+      Baseline_ = Mean;
+    return;
+  }
   // A window of failures measures the deadline, not the target.
   if (!Failing)
-    Baseline_ = Baseline_ == Duration::zero() ? Mean : std::min(Aged, Mean);
+    Baseline_ =
+        Baseline_ == Duration::zero() ? Mean : std::min(Baseline_, Mean);
   if (!Limited)
     return;
   double Gradient = 1;
@@ -74,6 +84,18 @@
   double Next = Failing ? Limit_ * std::min(Gradient, FailureFactor)
                         : Limit_ * Gradient + std::sqrt(Limit_);
   Limit_ = std::clamp(Next, 1.0, static_cast<double>(Slots_));
+  scheduleProbe();
+}
+
+void AdaptiveLimit::scheduleProbe() {
+  if (limit() == Slots_) {
+    Windows_ = 0;
+    return;
+  }
+  if (++Windows_ < Settings_.ProbeWindows_)
+    return;
+  Windows_ = 0;
+  ProbeLeft_ = 2;
 }
 
 void AdaptiveLimit::clearWindow() {
--- a/src/Admission/AdaptiveLimit.h
+++ b/src/Admission/AdaptiveLimit.h
@@ -15,16 +15,20 @@
   /// Ratio of a window's mean latency to the baseline up to which the limit is
   /// not lowered. Service times vary, also with the mix of requests.
   double Tolerance_ = 1.5;
-  /// Growth of the baseline per window, so that a lasting change of the
-  /// target's latency is accepted (0.5 % doubles it in 140 windows).
-  double BaselineDrift_ = 1.005;
+  /// Windows below the configured slots after which the baseline is measured
+  /// again, with a quarter of the limit for two windows. That costs 1.5 % of
+  /// the throughput. A baseline that merely drifted upwards would follow the
+  /// latency of a long overload and lift the limit.
+  unsigned ProbeWindows_ = 100;
 };
 
 /// Concurrency limit that follows the target's latency (gradient method). When
 /// the latency rises above the baseline because the target is overloaded, the
 /// limit falls in proportion; otherwise it grows by its square root up to the
 /// configured slots. The growth term also bounds the fall: a target that is
-/// slow for another reason keeps about four slots.
+/// slow for another reason keeps about four slots. While the limit is below
+/// the slots, the baseline is measured anew from time to time, so that a
+/// lasting change of the target's latency is accepted.
 class AdaptiveLimit {
 public:
   /// Starts at Slots (at least 1).
@@ -48,12 +52,14 @@
   /// Runs allowed at once, between 1 and the slots.
   std::uint32_t limit() const;
 
-  /// Lowest mean latency of recent windows; zero before the first window.
+  /// Lowest mean latency of a window since the last measurement; zero before
+  /// the first window.
   Duration baseline() const { return Baseline_; }
 
 private:
   void closeWindow();
   void clearWindow();
+  void scheduleProbe();
 
   AdaptiveLimitSettings Settings_;
   std::uint32_t Slots_;
@@ -63,6 +69,10 @@
   unsigned Samples_ = 0;
   unsigned Failures_ = 0;
   unsigned LimitedSamples_ = 0;
+  /// Windows since the last measurement of the baseline, while limited.
+  unsigned Windows_ = 0;
+  /// Windows left of the measurement in progress.
+  unsigned ProbeLeft_ = 0;
   TimePoint WindowStart_;
 };
 
--- a/unittests/Admission/AdmissionControlTest.cpp
+++ b/unittests/Admission/AdmissionControlTest.cpp
@@ -2,6 +2,7 @@
 
 #include "../TestSeed.h"
 
+#include <algorithm>
 #include <map>
 
 namespace marigold::admission {
@@ -191,6 +192,18 @@
   CHECK(Limit.limit() == 50);
 }
 
+// A baseline that drifts with the latency lifts the limit in a long overload.
+TEST_CASE("adaptive limit holds through a long overload") {
+  TimePoint Now{seconds(1000)};
+  AdaptiveLimit Limit(100);
+  feed(Limit, Now, 5, milliseconds(10));
+  // Ten runs at once take 10 ms; more share the same capacity.
+  for (int Window = 0; Window < 2000; ++Window) {
+    feed(Limit, Now, 1, milliseconds(std::max(10U, Limit.limit())));
+    REQUIRE(Limit.limit() <= (Window < 20 ? 100 : 30));
+  }
+}
+
 // Guards the count of slots: no run beyond the slots, no ticket lost or ended
 // twice, no idle slot beside a queue, and not-run only for tickets that never
 // ran.
