--- /dev/null
+++ b/programs/marigold-bench/Main.cpp
@@ -0,0 +1,16 @@
+#include "ChoiceBench.h"
+#include "OverloadBench.h"
+
+#include <cstdio>
+#include <string_view>
+
+int main(int Argc, char **Argv) {
+  std::string_view Name = Argc > 1 ? Argv[1] : "";
+  constexpr std::uint64_t Seed = 1;
+  if (Name == "choice")
+    return marigold::bench::runChoiceBench(Seed);
+  if (Name == "overload")
+    return marigold::bench::runOverloadBench(Seed);
+  std::fprintf(stderr, "usage: marigold-bench choice|overload\n");
+  return 2;
+}
--- /dev/null
+++ b/programs/marigold-bench/OverloadBench.cpp
@@ -0,0 +1,198 @@
+#include "OverloadBench.h"
+
+#include "Admission/AdmissionControl.h"
+#include "Support/Random.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace marigold::bench {
+namespace {
+
+using namespace admission;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Runs that the modelled target executes at full speed.
+constexpr std::uint32_t TargetSlots = 10;
+constexpr double ServiceSeconds = 0.005;
+constexpr Duration RequestDeadline = milliseconds(100);
+constexpr Duration WarmUp = seconds(5);
+constexpr Duration Length = seconds(60);
+
+/// Loss of total speed for each multiple of the slots that runs in excess
+/// (switching, memory). A target without it would lose nothing to overload but
+/// the work for answers that nobody waits for.
+constexpr double ExcessLoss = 0.1;
+
+/// One configuration of the node in front of the target.
+struct LimitCase {
+  const char *Name_;
+  AdmissionSettings Settings_;
+};
+
+struct Request {
+  Priority Priority_;
+  TimePoint Arrival_;
+  TimePoint Started_;
+};
+
+/// Processor-sharing target with exponential work: every run is equally likely
+/// to end next, so that an event needs only the number of runs.
+class OverloadModel {
+public:
+  OverloadModel(const LimitCase &Case, double Load, std::uint64_t Seed)
+      : Control_(Case.Settings_), Load_(Load), Rng_(Seed) {}
+
+  void run() {
+    TimePoint End = Start_ + WarmUp + Length;
+    while (Now_ < End) {
+      // The overload begins after a time of normal load, as a surge does.
+      double Factor = Now_ < Start_ + WarmUp ? 0.5 : Load_;
+      double ArrivalRate = Factor * TargetSlots / ServiceSeconds;
+      double Excess = std::max(0.0, double(Runs_.size()) / TargetSlots - 1);
+      double EndRate =
+          double(std::min<std::size_t>(Runs_.size(), TargetSlots)) /
+          ServiceSeconds / (1 + ExcessLoss * Excess);
+      double Total = ArrivalRate + EndRate;
+      Now_ +=
+          std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+              -std::log(1 - Rng_.fraction()) / Total));
+      dropLate();
+      if (Rng_.chance(ArrivalRate / Total))
+        arrive();
+      else if (!Runs_.empty())
+        end(Rng_.below(Runs_.size()), false);
+    }
+  }
+
+  /// Answers in time per second over the capacity, of one priority or of all.
+  double goodputRatio() const {
+    double Sum = 0;
+    for (double Count : Good_)
+      Sum += Count;
+    return Sum * ServiceSeconds / TargetSlots /
+           std::chrono::duration<double>(Length).count();
+  }
+  double successRatio(Priority Value) const {
+    auto Index = static_cast<std::size_t>(Value);
+    return Good_[Index] / std::max(Offered_[Index], 1.0);
+  }
+  std::uint32_t limit() const { return Control_.limit(); }
+
+private:
+  bool measured(TimePoint Arrival) const { return Arrival >= Start_ + WarmUp; }
+
+  void arrive() {
+    std::uint64_t Id = ++LastId_;
+    constexpr Priority Mix[]{Priority::Background, Priority::Normal,
+                             Priority::Normal, Priority::Normal,
+                             Priority::Critical};
+    Priority Value = Mix[Rng_.below(5)];
+    if (measured(Now_))
+      Offered_[static_cast<std::size_t>(Value)] += 1;
+    Requests_[Id] = {Value, Now_, {}};
+    Submission Result =
+        Control_.submit({Id, Value, Now_ + RequestDeadline}, Now_);
+    if (Result.Displaced_)
+      Requests_.erase(Result.Displaced_->Id_);
+    if (Result.Admission_ == Admission::Run)
+      start(Id);
+    else if (Result.Admission_ == Admission::Refuse)
+      Requests_.erase(Id);
+  }
+
+  void start(std::uint64_t Id) {
+    Requests_[Id].Started_ = Now_;
+    Runs_.push_back(Id);
+    Deadlines_.emplace(Requests_[Id].Arrival_ + RequestDeadline, Id);
+  }
+
+  void apply(const AdmissionActions &Actions) {
+    for (std::uint64_t Id : Actions.Start_)
+      start(Id);
+    for (const RefusedTicket &Ticket : Actions.Refuse_)
+      Requests_.erase(Ticket.Id_);
+  }
+
+  void end(std::size_t Position, bool Late) {
+    std::uint64_t Id = Runs_[Position];
+    Runs_[Position] = Runs_.back();
+    Runs_.pop_back();
+    Request Ended = Requests_[Id];
+    Requests_.erase(Id);
+    auto [First, Last] =
+        Deadlines_.equal_range(Ended.Arrival_ + RequestDeadline);
+    for (auto It = First; It != Last; ++It)
+      if (It->second == Id) {
+        Deadlines_.erase(It);
+        break;
+      }
+    if (!Late && measured(Ended.Arrival_))
+      Good_[static_cast<std::size_t>(Ended.Priority_)] += 1;
+    apply(Control_.finish(Id, {Now_ - Ended.Started_, true, Late}, Now_));
+  }
+
+  /// The target stops runs at their deadline; their work so far is lost.
+  void dropLate() {
+    while (!Deadlines_.empty() && Deadlines_.begin()->first <= Now_) {
+      auto Position =
+          std::find(Runs_.begin(), Runs_.end(), Deadlines_.begin()->second);
+      end(static_cast<std::size_t>(Position - Runs_.begin()), true);
+    }
+    apply(Control_.expire(Now_));
+  }
+
+  AdmissionControl Control_;
+  double Load_;
+  Random Rng_;
+  TimePoint Start_{seconds(1000)};
+  TimePoint Now_ = Start_;
+  std::uint64_t LastId_ = 0;
+  std::unordered_map<std::uint64_t, Request> Requests_;
+  std::vector<std::uint64_t> Runs_;
+  std::multimap<TimePoint, std::uint64_t> Deadlines_;
+  std::array<double, PriorityCount> Good_{};
+  std::array<double, PriorityCount> Offered_{};
+};
+
+AdmissionSettings settings(std::uint32_t Slots, std::uint32_t Queue,
+                           bool Adaptive) {
+  AdmissionSettings Result;
+  Result.Slots_ = Slots;
+  Result.Queue_ = Queue;
+  Result.Adaptive_ = Adaptive;
+  return Result;
+}
+
+} // namespace
+
+int runOverloadBench(std::uint64_t Seed) {
+  // A limit that no load reaches stands for a node without admission control.
+  const LimitCase Cases[]{
+      {"off", settings(1000000, 0, false)},
+      {"slots", settings(TargetSlots, 20, false)},
+      {"slots+adaptive", settings(TargetSlots, 20, true)},
+      {"slots-x8", settings(8 * TargetSlots, 20, false)},
+      {"slots-x8+adaptive", settings(8 * TargetSlots, 20, true)}};
+  for (const LimitCase &Case : Cases)
+    for (double Load : {1.0, 2.0, 3.0}) {
+      OverloadModel Model(Case, Load, Seed);
+      Model.run();
+      std::printf("bench=overload limits=%s load=%.0f goodput_ratio=%.3f "
+                  "critical_ok=%.3f normal_ok=%.3f background_ok=%.3f "
+                  "final_limit=%u\n",
+                  Case.Name_, Load, Model.goodputRatio(),
+                  Model.successRatio(Priority::Critical),
+                  Model.successRatio(Priority::Normal),
+                  Model.successRatio(Priority::Background), Model.limit());
+    }
+  return 0;
+}
+
+} // namespace marigold::bench
