--- a/src/Config/Snapshot.cpp
+++ b/src/Config/Snapshot.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cinttypes>
+#include <cstdio>
 
 namespace marigold::config {
 namespace {
@@ -141,6 +143,13 @@
   return Segments;
 }
 
+std::string digestText(const Digest128 &Digest) {
+  std::array<char, 33> Buffer{};
+  std::snprintf(Buffer.data(), Buffer.size(), "%016" PRIx64 "%016" PRIx64,
+                Digest.High_, Digest.Low_);
+  return Buffer.data();
+}
+
 Digest128 serviceDigest(const ServiceConfig &Service) {
   return digest128(encodeBody(Service));
 }
--- a/src/Config/Snapshot.h
+++ b/src/Config/Snapshot.h
@@ -76,6 +76,9 @@
 /// for a repeatable request.
 Result<std::vector<std::string>> requestSegments(std::string_view Target);
 
+/// Writes a digest as 32 hexadecimal digits.
+std::string digestText(const Digest128 &Digest);
+
 /// Digest of one service.
 Digest128 serviceDigest(const ServiceConfig &Service);
 
--- /dev/null
+++ b/src/Ctl/FleetView.cpp
@@ -0,0 +1,195 @@
+#include "Ctl/FleetView.h"
+#include "Support/Addresses.h"
+
+#include <algorithm>
+
+namespace marigold::ctl {
+namespace {
+
+/// Nodes that are asked for host lists when no seed answers.
+constexpr std::size_t SubstituteSeeds = 3;
+
+bool isLive(HostState State) {
+  return State != HostState::Dead && State != HostState::Gone;
+}
+
+/// True for errors of the text itself, for which every node has the same
+/// verdict. Others, such as a digest mismatch, may pass.
+bool isTextError(std::string_view Reason) {
+  for (std::uint16_t Number = 200; Number < 300; ++Number)
+    if (auto Code = errorFromNumber(Number); Code && errorText(*Code) == Reason)
+      return true;
+  return false;
+}
+
+/// True when Left tells more about a host than Right. Lists carry no sequence
+/// of a record, so among equal incarnations a list that shows the host alive
+/// wins: wait must not skip a node that may still serve requests.
+bool supersedes(const HostEntry &Left, const HostEntry &Right) {
+  if (Left.Incarnation_ != Right.Incarnation_)
+    return Left.Incarnation_ > Right.Incarnation_;
+  return Left.State_ < Right.State_;
+}
+
+} // namespace
+
+FleetView::FleetView(const std::vector<Address> &Seeds)
+    : Seeds_(Seeds.begin(), Seeds.end()) {
+  for (const Address &Seed : Seeds_)
+    Nodes_[Seed].Admin_ = Seed;
+}
+
+std::vector<StatusRequest>
+FleetView::nextRequests(std::optional<ConfigVersion> Wanted) const {
+  bool SeedReached = std::ranges::any_of(
+      Seeds_, [&](const Address &Seed) { return Nodes_.at(Seed).reached(); });
+  std::size_t Substitutes = SeedReached ? 0 : SubstituteSeeds;
+  std::vector<StatusRequest> Requests;
+  for (const auto &[Admin, Node] : Nodes_) {
+    if (Seeds_.contains(Admin)) {
+      Requests.push_back({Admin, true});
+      continue;
+    }
+    if (!inScope(Node))
+      continue;
+    if (Substitutes > 0 && Node.reached()) {
+      --Substitutes;
+      Requests.push_back({Admin, true});
+      continue;
+    }
+    if (Wanted && Node.reached() && Node.Status_->Version_ >= *Wanted)
+      continue;
+    Requests.push_back({Admin, false});
+  }
+  return Requests;
+}
+
+void FleetView::record(const Address &Admin, Result<NodeStatus> Answer) {
+  NodeView &Node = Nodes_[Admin];
+  Node.Admin_ = Admin;
+  if (!Answer) {
+    Node.Failure_ = Answer.error();
+    return;
+  }
+  Node.Failure_.reset();
+  Node.Status_ = std::move(Answer.value());
+  if (!Node.Status_->Hosts_)
+    return;
+  Lists_[Admin] = std::move(*Node.Status_->Hosts_);
+  Node.Status_->Hosts_.reset();
+  mergeLists();
+}
+
+void FleetView::mergeLists() {
+  std::map<HostId, const HostEntry *> Best;
+  for (const auto &[Reporter, List] : Lists_)
+    for (const HostEntry &Entry : List) {
+      const HostEntry *&Known = Best[Entry.Host_];
+      if (Known == nullptr || supersedes(Entry, *Known))
+        Known = &Entry;
+    }
+  for (auto &[Admin, Node] : Nodes_)
+    Node.Listed_.reset();
+  for (const auto &[Host, Entry] : Best) {
+    NodeView &Node = Nodes_[Entry->Admin_];
+    Node.Admin_ = Entry->Admin_;
+    // Two records of one admin address: a host slot was used again.
+    if (!Node.Listed_ || Node.Listed_->Incarnation_ < Entry->Incarnation_)
+      Node.Listed_ = *Entry;
+  }
+}
+
+bool FleetView::inScope(const NodeView &Node) const {
+  if (Node.reached())
+    return true;
+  if (Node.Listed_)
+    return isLive(Node.Listed_->State_);
+  return Seeds_.contains(Node.Admin_);
+}
+
+std::vector<const NodeView *> FleetView::nodes() const {
+  std::vector<const NodeView *> Scope;
+  for (const auto &[Admin, Node] : Nodes_)
+    if (inScope(Node))
+      Scope.push_back(&Node);
+  return Scope;
+}
+
+bool FleetView::anyReached() const {
+  return std::ranges::any_of(
+      Nodes_, [](const auto &Pair) { return Pair.second.reached(); });
+}
+
+ConfigVersion FleetView::newestVersion() const {
+  ConfigVersion Newest;
+  for (const NodeView *Node : nodes())
+    if (Node->Status_)
+      Newest = std::max(Newest, Node->Status_->Version_);
+  return Newest;
+}
+
+RolloutState FleetView::rollout(const ConfigVersion &Wanted) const {
+  RolloutState State;
+  for (const NodeView *Node : nodes()) {
+    if (!Node->reached())
+      State.Unreachable_.push_back(Node);
+    else if (Node->Status_->Version_ >= Wanted)
+      ++State.Active_;
+    else if (refuses(*Node->Status_, Wanted))
+      State.Refusing_.push_back(Node);
+    else
+      State.Lagging_.push_back(Node);
+  }
+  // Different content under an earlier version does not concern this one.
+  bool Conflict = std::ranges::any_of(
+      conflicts(), [&](const auto &Found) { return Found.Version_ >= Wanted; });
+  if (Conflict)
+    State.Verdict_ = RolloutState::Verdict::Conflict;
+  else if (!State.Refusing_.empty())
+    State.Verdict_ = RolloutState::Verdict::Refused;
+  else if (State.Active_ > 0 && State.Lagging_.empty() &&
+           State.Unreachable_.empty())
+    State.Verdict_ = RolloutState::Verdict::Done;
+  return State;
+}
+
+std::vector<DigestConflict> FleetView::conflicts() const {
+  std::map<ConfigVersion, DigestConflict> Versions;
+  for (const NodeView *Node : nodes()) {
+    if (!Node->Status_)
+      continue;
+    std::set<std::pair<ConfigVersion, std::string>> Held;
+    for (const VersionDigest &Entry : Node->Status_->History_)
+      Held.emplace(Entry.Version_, Entry.Digest_);
+    if (Node->Status_->Version_ != ConfigVersion{})
+      Held.emplace(Node->Status_->Version_, Node->Status_->Digest_);
+    for (const auto &[Version, Digest] : Held) {
+      Versions[Version].Version_ = Version;
+      Versions[Version].Nodes_[Digest].push_back(Node);
+    }
+  }
+  std::vector<DigestConflict> Found;
+  for (auto &[Version, Entry] : Versions)
+    if (Entry.Nodes_.size() > 1)
+      Found.push_back(std::move(Entry));
+  return Found;
+}
+
+bool refuses(const NodeStatus &Status, const ConfigVersion &Version) {
+  if (!Status.Refused_ || !isTextError(Status.Refused_->Reason_))
+    return false;
+  // The epoch of a text that could not be parsed is unknown.
+  const ConfigVersion &Refused = Status.Refused_->Version_;
+  return Refused.Revision_ == Version.Revision_ &&
+         (Refused.Epoch_ == Version.Epoch_ || Refused.Epoch_ == 0);
+}
+
+std::string nodeName(const NodeView &Node) {
+  if (Node.Status_)
+    return toText(Node.Status_->Host_);
+  if (Node.Listed_)
+    return toText(Node.Listed_->Host_);
+  return toText(Node.Admin_);
+}
+
+} // namespace marigold::ctl
