--- a/src/Distribution/SourceReader.cpp
+++ b/src/Distribution/SourceReader.cpp
@@ -13,6 +13,9 @@
 // A node that is no reader fetches behind about as many readers.
 constexpr int TakeoverSteps = 8;
 
+// A peer may have refused the text this long before this node saw its index.
+constexpr Duration RefusalSlack = std::chrono::seconds(10);
+
 } // namespace
 
 SourceReader::SourceReader(const membership::HostTable &Table,
@@ -89,6 +92,8 @@
     ++IndexFalls_;
     Agreed_ = false;
   }
+  if (Index != SeenIndex_)
+    SeenAt_ = Now;
   SeenIndex_ = Index;
   planFetch(Now);
 }
@@ -139,7 +144,8 @@
     return true;
   if (!Agreed_ || Options_.Mode_ == SourceMode::EveryNode)
     return false;
-  return Store_.version().Revision_ >= Index || Store_.isRefused(Index);
+  return Store_.version().Revision_ >= Index ||
+         Store_.isRefused(Index, SeenAt_ - RefusalSlack);
 }
 
 bool SourceReader::takesOver(TimePoint Now) {
--- a/src/Distribution/SourceReader.h
+++ b/src/Distribution/SourceReader.h
@@ -145,6 +145,7 @@
   // Index of the latest watch, index of the watch whose text is being fetched,
   // and index of the latest watch whose text was handled.
   std::uint64_t SeenIndex_ = 0;
+  TimePoint SeenAt_;
   std::uint64_t FetchIndex_ = 0;
   std::uint64_t HandledIndex_ = 0;
   // Whether the source's index is known to continue the held version's. It is
--- a/src/Distribution/VersionStore.cpp
+++ b/src/Distribution/VersionStore.cpp
@@ -42,8 +42,9 @@
                               TimePoint Now) {
   Result<void> Outcome = offer(Offered, Now);
   if (!Outcome && Offered && Outcome.error().Code_ != ErrorCode::VersionCurrent)
-    refuse({Offered->version(),
-            static_cast<std::uint16_t>(Outcome.error().Code_)});
+    refuse(
+        {Offered->version(), static_cast<std::uint16_t>(Outcome.error().Code_)},
+        Now);
   return Outcome;
 }
 
@@ -118,27 +119,29 @@
   return Reply;
 }
 
-bool VersionStore::refuse(const Refusal &Refused) {
+bool VersionStore::refuse(const Refusal &Refused, TimePoint Now) {
   Last_ = Refused;
-  return keep(Refused);
+  return keep(Refused, Now);
 }
 
-bool VersionStore::mergeRefusal(const Refusal &Refused) {
-  if (Refused.Version_.Revision_ == 0 || isSuperseded(Refused) ||
-      !keep(Refused))
+bool VersionStore::mergeRefusal(const Refusal &Refused, TimePoint Now) {
+  bool Known =
+      std::any_of(Refusals_.begin(), Refusals_.end(),
+                  [&](const auto &Other) { return Other.first == Refused; });
+  if (Refused.Version_.Revision_ == 0 || Known || isSuperseded(Refused))
     return false;
   Last_ = Refused;
-  return true;
+  return keep(Refused, Now);
 }
 
-bool VersionStore::keep(const Refusal &Refused) {
-  std::uint64_t Revision = Refused.Version_.Revision_;
-  if (isRefused(Revision))
-    return false;
-  Refusals_.push_back(Revision);
+bool VersionStore::keep(const Refusal &Refused, TimePoint Now) {
+  bool News = std::erase_if(Refusals_, [&](const auto &Other) {
+                return Other.first == Refused;
+              }) == 0;
+  Refusals_.emplace_back(Refused, Now);
   if (Refusals_.size() > RefusalsKept)
     Refusals_.pop_front();
-  return true;
+  return News;
 }
 
 bool VersionStore::isSuperseded(const Refusal &Refused) const {
@@ -148,9 +151,12 @@
   return Refused.Version_ <= version();
 }
 
-bool VersionStore::isRefused(std::uint64_t Revision) const {
-  return std::find(Refusals_.begin(), Refusals_.end(), Revision) !=
-         Refusals_.end();
+bool VersionStore::isRefused(std::uint64_t Revision, TimePoint Since) const {
+  return std::any_of(Refusals_.begin(), Refusals_.end(),
+                     [&](const auto &Known) {
+                       return Known.first.Version_.Revision_ == Revision &&
+                              Known.second >= Since;
+                     });
 }
 
 void VersionStore::fill(NodeSummary &Summary) const {
--- a/src/Distribution/VersionStore.h
+++ b/src/Distribution/VersionStore.h
@@ -8,7 +8,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
-#include <vector>
+#include <utility>
 
 namespace marigold::distribution {
 
@@ -87,20 +87,22 @@
 
   /// Keeps that this node refused a text of the source. Returns whether it is
   /// news.
-  bool refuse(const Refusal &Refused);
+  bool refuse(const Refusal &Refused, TimePoint Now);
 
   /// Keeps a refusal that a peer reports. Returns whether it is news to be
-  /// passed on: its revision is not known to be refused, and no newer version
+  /// passed on: it is not known yet, and no newer version
   /// is in force. A refusal as VersionOlder is therefore shown only by the
   /// nodes that read the source.
-  bool mergeRefusal(const Refusal &Refused);
+  bool mergeRefusal(const Refusal &Refused, TimePoint Now);
 
   /// The latest refusal, of this node or reported by a peer; nothing when
   /// none or when a newer version was adopted since.
   const std::optional<Refusal> &lastRefusal() const { return Last_; }
 
-  /// Whether a text with this revision is known to be refused.
-  bool isRefused(std::uint64_t Revision) const;
+  /// Whether this node learned at or after Since that a text with this
+  /// revision was refused. Older knowledge may concern another text: a source
+  /// that lost its history uses revisions again.
+  bool isRefused(std::uint64_t Revision, TimePoint Since) const;
 
   /// Counts of offers that were not adopted.
   const OfferCounts &counts() const { return Counts_; }
@@ -112,14 +114,14 @@
   Result<void> checkOrder(const ConfigVersion &Version,
                           const Digest128 &Digest);
   void adopt(const config::SnapshotPointer &Offered, TimePoint Now);
-  bool keep(const Refusal &Refused);
+  bool keep(const Refusal &Refused, TimePoint Now);
   bool isSuperseded(const Refusal &Refused) const;
 
   config::SnapshotPointer Current_;
   std::deque<config::SnapshotDigests> Bases_;
   std::deque<AdoptedVersion> History_;
-  // Refused revisions, oldest first.
-  std::deque<std::uint64_t> Refusals_;
+  // Refusals and when they were learned, oldest first.
+  std::deque<std::pair<Refusal, TimePoint>> Refusals_;
   std::optional<Refusal> Last_;
   OfferCounts Counts_;
 };
--- a/src/Membership/LocalHealth.h
+++ b/src/Membership/LocalHealth.h
@@ -29,13 +29,14 @@
   /// slow prober otherwise takes its own lateness for the death of others.
   unsigned multiplier() const { return Score_ + 1; }
 
-  /// True when more than half of the last 8 rounds were all silent. Such a
-  /// prober is probably cut off or overloaded itself.
+  /// True when more than half of the last 5 rounds were all silent. Such a
+  /// prober is probably cut off or overloaded itself. Three silent rounds take
+  /// about 4 s, less than the 6 s in which its first suspicion would run out.
   bool distrustsItself() const;
 
 private:
   static constexpr unsigned MaxScore_ = 8;
-  static constexpr std::size_t WindowSize_ = 8;
+  static constexpr std::size_t WindowSize_ = 5;
 
   unsigned Score_ = 0;
   std::deque<bool> Silent_;
--- /dev/null
+++ b/unittests/Distribution/MeshDistributionTest.cpp
@@ -0,0 +1,242 @@
+#include "Mesh/InMemoryMesh.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold::testing {
+
+using namespace std::chrono_literals;
+using distribution::SourceMode;
+
+namespace {
+
+struct MeshDistributionFixture {
+  void expectNoViolation(const InMemoryMesh &Mesh) {
+    for (const std::string &Violation : Mesh.Violations_)
+      FAIL_CHECK(Violation);
+  }
+};
+
+} // namespace
+
+// Guards the 3 s bound of G9 and the number of reads of the source.
+TEST_CASE_FIXTURE(MeshDistributionFixture,
+                  "mesh adopts a published version within 3 s") {
+  std::uint64_t Seed = testSeed(401);
+  CAPTURE(Seed);
+  InMemoryMesh Mesh(50, Seed);
+  REQUIRE(Mesh.converge(Mesh.publish(), 15s));
+  Mesh.run(30s);
+  for (int Round = 0; Round < 5; ++Round) {
+    std::size_t Fetches = Mesh.TextFetches_;
+    CHECK(Mesh.converge(Mesh.publish(), 3s));
+    Mesh.run(10s);
+    CHECK(Mesh.TextFetches_ - Fetches <= 3);
+  }
+  expectNoViolation(Mesh);
+}
+
+// F1: a restart of all nodes must not bring all of them to the source at once.
+TEST_CASE_FIXTURE(MeshDistributionFixture,
+                  "mesh after a restart of all reads the source few times") {
+  std::uint64_t Seed = testSeed(402);
+  CAPTURE(Seed);
+  InMemoryMesh Mesh(40, Seed);
+  ConfigVersion Version = Mesh.publish();
+  Mesh.run(30s);
+  for (std::size_t Node = 0; Node < 40; ++Node)
+    Mesh.crash(Node);
+  Mesh.run(1s);
+  std::size_t Before = Mesh.SourceCalls_;
+  for (std::size_t Node = 0; Node < 40; ++Node)
+    Mesh.start(Node);
+  CHECK(Mesh.converge(Version, 12s));
+  CHECK(Mesh.SourceCalls_ - Before < 40);
+  expectNoViolation(Mesh);
+}
+
+// F2: the version stays during an outage, and the return of the source is
+// noticed without a storm of reads.
+TEST_CASE_FIXTURE(MeshDistributionFixture,
+                  "mesh keeps its version while the source is down") {
+  std::uint64_t Seed = testSeed(403);
+  CAPTURE(Seed);
+  InMemoryMesh Mesh(20, Seed);
+  Mesh.publish();
+  Mesh.run(30s);
+  Mesh.SourceDown_ = true;
+  std::size_t Before = Mesh.SourceCalls_;
+  Mesh.run(120s);
+  CHECK(Mesh.node(3).Confirmation_.age(Mesh.now()) > 100s);
+  CHECK(Mesh.SourceCalls_ - Before < 20 * 120 / 2);
+  Mesh.SourceDown_ = false;
+  ConfigVersion Version = Mesh.publish();
+  CHECK(Mesh.converge(Version, 60s));
+  expectNoViolation(Mesh);
+}
+
+// F4: after the loss of its history the source offers low indexes. Nothing
+// goes back until the epoch in the text is raised, even when nodes restart.
+TEST_CASE_FIXTURE(MeshDistributionFixture,
+                  "mesh ignores a source without history until a new epoch") {
+  std::uint64_t Seed = testSeed(404);
+  CAPTURE(Seed);
+  InMemoryMesh Mesh(20, Seed);
+  for (int Count = 0; Count < 5; ++Count)
+    Mesh.publish();
+  Mesh.run(30s);
+  ConfigVersion Held = Mesh.highest();
+  REQUIRE(Held.Revision_ == 5);
+  Mesh.loseHistory();
+  Mesh.run(10s);
+  for (std::size_t Node : {0, 5, 6, 7, 11}) {
+    Mesh.crash(Node);
+    Mesh.run(1s);
+    Mesh.start(Node);
+  }
+  CHECK(Mesh.converge(Held, 20s));
+  std::uint64_t Refused = 0;
+  for (std::size_t Node = 0; Node < 20; ++Node)
+    Refused += Mesh.node(Node).Store_.counts().Older_;
+  CHECK(Refused > 0);
+  ConfigVersion Raised = Mesh.publish(2);
+  REQUIRE(Raised.Revision_ < Held.Revision_);
+  CHECK(Mesh.converge(Raised, 10s));
+  expectNoViolation(Mesh);
+}
+
+// F4, worst case: the new history reaches the very index of the held version.
+TEST_CASE_FIXTURE(MeshDistributionFixture,
+                  "mesh adopts a new epoch at the index of the held version") {
+  std::uint64_t Seed = testSeed(405);
+  CAPTURE(Seed);
+  InMemoryMesh Mesh(12, Seed);
+  Mesh.publish();
+  Mesh.publish();
+  Mesh.run(30s);
+  Mesh.loseHistory();
+  Mesh.run(10s);
+  ConfigVersion Raised = Mesh.publish(2);
+  REQUIRE(Raised == ConfigVersion{2, 2});
+  CHECK(Mesh.converge(Raised, 15s));
+  expectNoViolation(Mesh);
+}
+
+// F9: an invalid text is refused by all, and the next valid one is adopted.
+TEST_CASE_FIXTURE(MeshDistributionFixture,
+                  "mesh reports an invalid text everywhere and stays") {
+  std::uint64_t Seed = testSeed(406);
+  CAPTURE(Seed);
+  InMemoryMesh Mesh(20, Seed);
+  ConfigVersion Held = Mesh.publish();
+  Mesh.run(30s);
+  std::size_t Fetches = Mesh.TextFetches_;
+  Mesh.publishInvalid();
+  Mesh.run(5s);
+  CHECK(Mesh.highest() == Held);
+  CHECK(Mesh.TextFetches_ - Fetches <= 3);
+  for (std::size_t Node = 0; Node < 20; ++Node) {
+    const auto &Refused = Mesh.node(Node).Store_.lastRefusal();
+    REQUIRE(Refused);
+    CHECK(Refused->Version_.Revision_ == 2);
+  }
+  CHECK(Mesh.converge(Mesh.publish(), 3s));
+  CHECK_FALSE(Mesh.node(1).Store_.lastRefusal());
+  expectNoViolation(Mesh);
+}
+
+// All readers are lost at once: others notice by the age of the confirmation.
+TEST_CASE_FIXTURE(MeshDistributionFixture,
+                  "mesh without its readers reads the source within 25 s") {
+  std::uint64_t Seed = testSeed(407);
+  CAPTURE(Seed);
+  InMemoryMesh Mesh(30, Seed);
+  Mesh.publish();
+  Mesh.run(30s);
+  for (std::size_t Node = 0; Node < 30; ++Node)
+    if (Mesh.node(Node).Source_.isReader(Mesh.now()))
+      Mesh.crash(Node);
+  ConfigVersion Version = Mesh.publish();
+  Mesh.run(25s);
+  CHECK(Mesh.converge(Version, 3s));
+  expectNoViolation(Mesh);
+}
+
+// The baseline of measurements reads the text once for each node.
+TEST_CASE_FIXTURE(MeshDistributionFixture,
+                  "mesh in mode every-node fetches at each node") {
+  std::uint64_t Seed = testSeed(408);
+  CAPTURE(Seed);
+  InMemoryMesh Mesh(10, Seed, SourceMode::EveryNode);
+  Mesh.publish();
+  Mesh.run(30s);
+  std::size_t Fetches = Mesh.TextFetches_;
+  CHECK(Mesh.converge(Mesh.publish(), 3s));
+  Mesh.run(10s);
+  CHECK(Mesh.TextFetches_ - Fetches == 10);
+  expectNoViolation(Mesh);
+}
+
+// F1 to F6 and F9 in random order, over lossy, doubled, crossed, delayed and
+// corrupt messages. After healing all hold the highest version.
+TEST_CASE_FIXTURE(MeshDistributionFixture,
+                  "mesh under random faults converges after healing") {
+  for (std::uint64_t Number = 0; Number < 12; ++Number) {
+    std::uint64_t Seed = testSeed(500 + Number);
+    CAPTURE(Seed);
+    Random Rng(Seed);
+    InMemoryMesh Mesh(5 + Rng.below(20), Seed);
+    Mesh.Faults_ = {0.2, 0.2, 0.05, 1ms, 500ms};
+    Mesh.publish();
+    for (int Step = 0; Step < 40; ++Step) {
+      std::size_t Node = Rng.below(Mesh.size());
+      switch (Rng.below(9)) {
+      case 0:
+        Mesh.publish();
+        break;
+      case 1:
+        Mesh.publishInvalid();
+        break;
+      case 2:
+        if (Rng.chance(0.2))
+          Mesh.loseHistory();
+        break;
+      case 3:
+        Mesh.publish(Mesh.highest().Epoch_ + 1);
+        break;
+      case 4:
+        if (Mesh.isUp(Node) && Node != 0)
+          Mesh.crash(Node);
+        break;
+      case 5:
+        if (!Mesh.isUp(Node))
+          Mesh.start(Node);
+        break;
+      case 6:
+        Mesh.pause(Node, Rng.upTo(20s));
+        break;
+      case 7:
+        Mesh.setGroup(Node, static_cast<int>(Rng.below(2)));
+        break;
+      default:
+        Mesh.SourceDown_ = Rng.chance(0.3);
+        break;
+      }
+      Mesh.run(Rng.upTo(5s));
+    }
+    Mesh.Faults_ = {};
+    Mesh.SourceDown_ = false;
+    for (std::size_t Node = 0; Node < Mesh.size(); ++Node) {
+      Mesh.setGroup(Node, 0);
+      if (!Mesh.isUp(Node))
+        Mesh.start(Node);
+    }
+    Mesh.run(240s);
+    CHECK(Mesh.converge(Mesh.highest(), 1s));
+    CHECK(Mesh.viewsAgree());
+    ConfigVersion Last = Mesh.publish(Mesh.highest().Epoch_ + 1);
+    CHECK(Mesh.converge(Last, 10s));
+    expectNoViolation(Mesh);
+  }
+}
+
+} // namespace marigold::testing
