--- /dev/null
+++ b/src/Node/CallerKeys.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "Node/CallerCall.h"
+
+namespace marigold::node {
+
+/// Answers the paths below /.marigold/ of the caller port: POST
+/// /.marigold/keys?service=S returns a key as the body, text/plain.
+void handleOwnPath(const std::shared_ptr<CallerContext> &Context,
+                   const transport::HttpRequest &Request,
+                   std::shared_ptr<transport::HttpExchange> Exchange);
+
+} // namespace marigold::node
--- /dev/null
+++ b/src/Node/CallerPools.cpp
@@ -0,0 +1,116 @@
+#include "Node/CallerPools.h"
+
+#include "Support/Addresses.h"
+#include "Support/Digest.h"
+
+namespace marigold::node {
+
+namespace {
+
+std::unique_ptr<routing::ChoiceStrategy> strategy(const std::string &Name) {
+  auto Made = routing::makeStrategy(Name);
+  if (!Made)
+    Made = routing::makeStrategy("two-choices");
+  return std::move(Made.value());
+}
+
+} // namespace
+
+ServiceCounters::ServiceCounters(MetricsRegistry &Metrics,
+                                 const std::string &Service)
+    : Ok_(Metrics.value(Metric::CallsTotal, Service, outcomeText(Outcome::Ok))),
+      NotRun_(Metrics.value(Metric::CallsTotal, Service,
+                            outcomeText(Outcome::NotRun))),
+      Unknown_(Metrics.value(Metric::CallsTotal, Service,
+                             outcomeText(Outcome::Unknown))),
+      Slow_(Metrics.value(Metric::CallsSlowTotal, Service)),
+      Retries_(Metrics.value(Metric::RetriesTotal, Service)),
+      RetriesDenied_(Metrics.value(Metric::RetriesDeniedTotal, Service)) {}
+
+void ServiceState::onCall(TimePoint Now) {
+  std::lock_guard Lock(Mutex_);
+  Budget_.onCall(Now);
+}
+
+Result<HostId> ServiceState::choose(std::span<const HostId> Excluded,
+                                    TimePoint Now) {
+  std::lock_guard Lock(Mutex_);
+  return Pool_.choose({Excluded}, Now, Random_);
+}
+
+bool ServiceState::startCall(const HostId &Id, TimePoint Now) {
+  std::lock_guard Lock(Mutex_);
+  return Pool_.startCall(Id, Now);
+}
+
+void ServiceState::onResult(const HostId &Id, const routing::CallSample &Sample,
+                            TimePoint Now) {
+  std::lock_guard Lock(Mutex_);
+  Pool_.onResult(Id, Sample, Now);
+}
+
+calls::RetryDecision ServiceState::retry(const calls::AttemptState &State,
+                                         const calls::Deadline &Limit,
+                                         TimePoint Now) {
+  std::lock_guard Lock(Mutex_);
+  return Policy_.next(State, Limit, Budget_, Now);
+}
+
+CallerPools::CallerPools(CallEnvironment &Environment, MetricsRegistry &Metrics,
+                         const NodeSettings &Settings, std::uint64_t Seed)
+    : Environment_(Environment), Metrics_(Metrics), Settings_(Settings) {
+  Random Seeds(Seed);
+  for (Shard &Group : Shards_)
+    Group.Random_ = Random(Seeds.next());
+}
+
+std::unique_ptr<ServiceState>
+CallerPools::make(Shard &Group, const ServiceConfig &Service) const {
+  routing::PoolSettings Values;
+  // The identity is that of the settings; the environment is not called under
+  // a shard's lock.
+  Values.Own_ = {toHostId(Settings_.PeerAddress_), Settings_.FailureDomain_,
+                 Settings_.Region_};
+  Values.Subset_ = Settings_.Subset_;
+  Values.Slots_ = Service.Slots_;
+  Values.SlowStart_ = Service.SlowStart_;
+  calls::RetryBudgetSettings Budget;
+  Budget.Ratio_ = Settings_.RetryRatio_;
+  return std::make_unique<ServiceState>(
+      Group.Mutex_, Group.Random_,
+      routing::Pool(Values, strategy(Settings_.Strategy_)),
+      calls::RetryBudget(Budget, std::chrono::steady_clock::now()), Metrics_,
+      Service.Name_);
+}
+
+ServiceState &CallerPools::of(const ServiceConfig &Service,
+                              const ConfigVersion &Version) {
+  Shard &Group = Shards_[hash64(Service.Name_) % Shards_.size()];
+  // Read before the hosts: a change in between is then seen again by the next
+  // call.
+  std::uint64_t Generation = Environment_.hostsGeneration();
+  {
+    std::lock_guard Lock(Group.Mutex_);
+    auto &Slot = Group.Services_[Service.Name_];
+    if (!Slot)
+      Slot = make(Group, Service);
+    if (Slot->Version_ != Version) {
+      Slot->Version_ = Version;
+      Slot->Pool_.configure(Service.Slots_, Service.SlowStart_);
+    }
+    if (Slot->Filled_ && Slot->Generation_ == Generation)
+      return *Slot;
+  }
+  // Outside the lock: the environment takes the lock of the control shard.
+  std::vector<HostRecord> Hosts = Environment_.hostsOfService(Service.Name_);
+  std::lock_guard Lock(Group.Mutex_);
+  ServiceState &State = *Group.Services_.find(Service.Name_)->second;
+  if (!State.Filled_ || Generation > State.Generation_) {
+    State.Pool_.setHosts(std::move(Hosts), std::chrono::steady_clock::now());
+    State.Generation_ = Generation;
+    State.Filled_ = true;
+  }
+  return State;
+}
+
+} // namespace marigold::node
--- /dev/null
+++ b/src/Node/CallerSide.cpp
@@ -0,0 +1,93 @@
+#include "Node/CallerSide.h"
+
+#include "Node/CallerCall.h"
+#include "Node/CallerKeys.h"
+
+#include "Config/Limits.h"
+#include "Config/Snapshot.h"
+
+namespace marigold::node {
+
+using transport::HttpExchange;
+using transport::HttpRequest;
+
+namespace {
+
+constexpr std::string_view OwnPaths = "/.marigold/";
+// Body limit of a request that will be refused anyway. Its body is read, so
+// that the caller gets the specific reason.
+constexpr std::uint64_t DefaultBodyLimit = 64 * 1024;
+
+} // namespace
+
+class CallerSide::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(CallerSideParts Parts, std::uint64_t Seed)
+      : Context_(std::make_shared<CallerContext>(Parts, Seed)),
+        Server_(Parts.Io_, options(Context_)) {}
+
+  static transport::HttpServerOptions
+  options(const std::shared_ptr<CallerContext> &Context) {
+    transport::HttpServerOptions Values;
+    Values.OnRequest_ = [Context](HttpRequest Request,
+                                  std::shared_ptr<HttpExchange> Exchange) {
+      onRequest(Context, std::move(Request), std::move(Exchange));
+    };
+    Values.BodyLimit_ = [Context](const HttpRequest &Head) {
+      return bodyLimit(*Context, Head);
+    };
+    Values.OnRefused_ = [Context](ErrorCode Code) {
+      MetricsRegistry &Metrics = Context->Parts_.Metrics_;
+      Metrics.add(Metric::CallsTotal, 1, "none",
+                  outcomeText(errorOutcome(Code)));
+      Metrics.add(Metric::CallErrorsTotal, 1, "none", errorText(Code));
+    };
+    return Values;
+  }
+
+  static void onRequest(const std::shared_ptr<CallerContext> &Context,
+                        HttpRequest Request,
+                        std::shared_ptr<HttpExchange> Exchange) {
+    if (Request.Target_.starts_with(OwnPaths)) {
+      handleOwnPath(Context, Request, std::move(Exchange));
+      return;
+    }
+    std::make_shared<CallerCall>(Context, std::move(Request),
+                                 std::move(Exchange))
+        ->start();
+  }
+
+  static std::uint64_t bodyLimit(const CallerContext &Context,
+                                 const HttpRequest &Head) {
+    // The owner of a key decides on its request, whatever its size.
+    if (!transport::findHeader(Head.Headers_, "idempotency-key").empty())
+      return config::MaxBodyLimit;
+    auto Snapshot = Context.Parts_.Environment_.snapshot();
+    if (!Snapshot)
+      return DefaultBodyLimit;
+    auto Route = Snapshot->matchRoute(Head.Host_, Head.Method_, Head.Target_);
+    return Route ? Route.value()->MaxBody_ : DefaultBodyLimit;
+  }
+
+  std::shared_ptr<CallerContext> Context_;
+  transport::HttpServer Server_;
+};
+
+CallerSide::CallerSide(CallerSideParts Parts, std::uint64_t Seed)
+    : Impl_(std::make_shared<Impl>(Parts, Seed)) {}
+
+CallerSide::~CallerSide() { stop(); }
+
+Result<void> CallerSide::listen(const Address &Local) {
+  return Impl_->Server_.listen(Local);
+}
+
+std::uint16_t CallerSide::port() const { return Impl_->Server_.port(); }
+
+std::size_t CallerSide::open() const { return Impl_->Context_->Open_; }
+
+void CallerSide::drain() { Impl_->Server_.drain(); }
+
+void CallerSide::stop() { Impl_->Server_.stop(); }
+
+} // namespace marigold::node
--- /dev/null
+++ b/src/Node/TargetHealth.cpp
@@ -0,0 +1,289 @@
+#include "Node/TargetSideImpl.h"
+
+#include "Support/Log.h"
+
+namespace marigold::node {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Longest wait for the target to accept a connection.
+constexpr auto ProbeTimeout = std::chrono::milliseconds(500);
+// Wait between a lost connection and the probe that tells whether the process
+// is gone. The kernel closes the sockets of an exiting process one after the
+// other; a probe at once could still reach its listening socket.
+constexpr auto CrashProbeDelay = std::chrono::milliseconds(20);
+// Interval of the removal of expired records and of the update of gauges.
+constexpr auto HousekeepingInterval = std::chrono::seconds(1);
+
+} // namespace
+
+void TargetSide::Impl::start() {
+  if (Parts_.Settings_.Service_.empty())
+    return;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    armProbe();
+  }
+  armHousekeeping();
+}
+
+void TargetSide::Impl::stop() {
+  if (Stopped_.exchange(true))
+    return;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    ExpiryTimer_.cancel();
+    ProbeTimer_.cancel();
+    CrashTimer_.cancel();
+    DrainTimer_.cancel();
+  }
+  Pool_.stop();
+}
+
+// Timers; call these with the admission shard's lock held.
+
+void TargetSide::Impl::armExpiry() {
+  TimePoint Next = Admission_.Control_.nextExpiry();
+  if (Stopped_ || Next == TimePoint::max())
+    return;
+  ExpiryTimer_.expires_at(Next);
+  ExpiryTimer_.async_wait([Weak = weak_from_this()](
+                              boost::system::error_code Error) {
+    auto Self = Weak.lock();
+    if (Error || !Self)
+      return;
+    admission::AdmissionActions Actions;
+    {
+      std::lock_guard Lock(Self->Admission_.Mutex_);
+      Actions =
+          Self->Admission_.Control_.expire(std::chrono::steady_clock::now());
+      Self->armExpiry();
+    }
+    Self->apply(Actions);
+  });
+}
+
+void TargetSide::Impl::armProbe() {
+  TimePoint Next = Admission_.Monitor_.nextProbe();
+  if (Stopped_ || Next == TimePoint::max())
+    return;
+  ProbeTimer_.expires_at(Next);
+  ProbeTimer_.async_wait(
+      [Weak = weak_from_this()](boost::system::error_code Error) {
+        auto Self = Weak.lock();
+        if (!Error && Self)
+          Self->runProbe();
+      });
+}
+
+// The target's process.
+
+void TargetSide::Impl::runProbe() {
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    if (!Admission_.Monitor_.takeProbe(std::chrono::steady_clock::now())) {
+      armProbe();
+      return;
+    }
+  }
+  Pool_.probe(ProbeTimeout, [Weak = weak_from_this()](bool Accepted) {
+    auto Self = Weak.lock();
+    if (!Self || Self->Stopped_)
+      return;
+    if (Accepted)
+      Self->onConnected();
+    else
+      Self->onConnectFailed();
+  });
+}
+
+void TargetSide::Impl::onConnected() {
+  bool Draining = false;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    if (!Admission_.Monitor_.onConnected())
+      return;
+    Admission_.Control_.targetUp();
+    Draining = Admission_.Control_.draining();
+  }
+  logEvent(LogLevel::Info, "target-up");
+  if (!Draining)
+    Parts_.Environment_.ownStateChanged(HostState::Ready);
+}
+
+void TargetSide::Impl::onConnectFailed() {
+  admission::AdmissionActions Actions;
+  bool Draining = false;
+  bool WasUp = false;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    TimePoint Now = std::chrono::steady_clock::now();
+    WasUp = Admission_.Monitor_.onConnectFailed(Now, Admission_.Random_);
+    if (WasUp)
+      Actions = Admission_.Control_.targetDown(Now);
+    Draining = Admission_.Control_.draining();
+    armProbe();
+  }
+  if (!WasUp)
+    return;
+  apply(Actions);
+  Pool_.closeIdle();
+  logEvent(LogLevel::Warning, "target-down");
+  if (!Draining)
+    Parts_.Environment_.ownStateChanged(HostState::Starting);
+}
+
+void TargetSide::Impl::beginCrashCheck(const TargetRunPtr &Run) {
+  std::lock_guard Lock(Admission_.Mutex_);
+  if (CrashCheck_) {
+    if (CrashCheck_->Fingerprints_.contains(Run->Id_))
+      ++CrashCheck_->Lost_;
+    return;
+  }
+  if (Stopped_)
+    return;
+  CrashCheck_.emplace();
+  for (const auto &[Id, Other] : Admission_.Runs_)
+    if (Other->Forwarded_ != TimePoint())
+      CrashCheck_->Fingerprints_.emplace(Id, Other->Fingerprint_);
+  CrashCheck_->Runs_ = CrashCheck_->Fingerprints_.size();
+  CrashCheck_->Lost_ = 1;
+  CrashTimer_.expires_after(CrashProbeDelay);
+  CrashTimer_.async_wait(
+      [Weak = weak_from_this()](boost::system::error_code Error) {
+        auto Self = Weak.lock();
+        if (Error || !Self)
+          return;
+        Self->Pool_.probe(ProbeTimeout, [Weak](bool Accepted) {
+          if (auto Alive = Weak.lock())
+            Alive->endCrashCheck(Accepted);
+        });
+      });
+}
+
+void TargetSide::Impl::endCrashCheck(bool TargetAccepts) {
+  CrashNotice Notice;
+  bool Crashed = false;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    if (!CrashCheck_)
+      return;
+    // A process that was restarted at once accepts connections again; then
+    // the loss of every one of several runs shows that it was replaced.
+    bool AllLost =
+        CrashCheck_->Runs_ > 1 && CrashCheck_->Lost_ == CrashCheck_->Runs_;
+    Crashed = !TargetAccepts || AllLost;
+    Notice.CrashId_ = Admission_.Random_.next();
+    for (const auto &[Id, Fingerprint] : CrashCheck_->Fingerprints_)
+      Notice.Fingerprints_.push_back(Fingerprint);
+    CrashCheck_.reset();
+  }
+  if (!TargetAccepts)
+    onConnectFailed();
+  if (!Crashed)
+    return;
+  Notice.Service_ = Parts_.Settings_.Service_;
+  Parts_.Metrics_.add(Metric::TargetCrashesTotal);
+  logEvent(LogLevel::Warning, "target-crashed",
+           {{"in_progress", std::to_string(Notice.Fingerprints_.size())}});
+  {
+    std::lock_guard Lock(Keys_.Mutex_);
+    Keys_.Suspects_.onCrash(Notice.CrashId_, Notice.Fingerprints_,
+                            std::chrono::steady_clock::now());
+  }
+  Parts_.Environment_.sendCrashNotice(Notice);
+}
+
+void TargetSide::Impl::onCrashNotice(const CrashNotice &Notice) {
+  if (Notice.Service_ != Parts_.Settings_.Service_)
+    return;
+  std::lock_guard Lock(Keys_.Mutex_);
+  Keys_.Suspects_.onCrash(Notice.CrashId_, Notice.Fingerprints_,
+                          std::chrono::steady_clock::now());
+}
+
+// Drain.
+
+void TargetSide::Impl::drain(std::function<void()> Done) {
+  admission::AdmissionActions Actions;
+  bool Began = false;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    TimePoint Now = std::chrono::steady_clock::now();
+    if (Admission_.Drain_.state() != admission::DrainState::Drained && Done) {
+      Admission_.Drained_.push_back(std::move(Done));
+      Done = nullptr;
+    }
+    Began = Admission_.Drain_.begin(Now);
+    if (Began)
+      Actions = Admission_.Control_.beginDrain(Now);
+  }
+  if (Done)
+    Done();
+  if (!Began)
+    return;
+  logEvent(LogLevel::Info, "drain-started");
+  apply(Actions);
+  Parts_.Environment_.ownStateChanged(HostState::Draining);
+  updateDrain();
+}
+
+void TargetSide::Impl::updateDrain() {
+  std::vector<std::function<void()>> Finished;
+  std::uint32_t Cut = 0;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    TimePoint Now = std::chrono::steady_clock::now();
+    auto State = Admission_.Drain_.update(Admission_.Control_.running(), Now);
+    if (State == admission::DrainState::Drained) {
+      Finished.swap(Admission_.Drained_);
+      Cut = Admission_.Drain_.cut();
+    } else if (State == admission::DrainState::Draining && !Stopped_) {
+      DrainTimer_.expires_at(Admission_.Drain_.nextUpdate(Now));
+      DrainTimer_.async_wait(
+          [Weak = weak_from_this()](boost::system::error_code Error) {
+            auto Self = Weak.lock();
+            if (!Error && Self)
+              Self->updateDrain();
+          });
+    }
+  }
+  if (Finished.empty())
+    return;
+  logEvent(LogLevel::Info, "drain-finished", {{"cut", std::to_string(Cut)}});
+  for (auto &Done : Finished)
+    Done();
+}
+
+// Housekeeping.
+
+void TargetSide::Impl::armHousekeeping() {
+  if (Stopped_)
+    return;
+  Housekeeping_.expires_after(HousekeepingInterval);
+  Housekeeping_.async_wait(
+      [Weak = weak_from_this()](boost::system::error_code Error) {
+        auto Self = Weak.lock();
+        if (Error || !Self)
+          return;
+        TimePoint Now = std::chrono::steady_clock::now();
+        std::size_t Keys = 0;
+        {
+          std::lock_guard Lock(Self->Keys_.Mutex_);
+          Self->Keys_.Keys_.expire(Now);
+          Self->Keys_.Suspects_.expire(Now);
+          Keys = Self->Keys_.Keys_.size();
+        }
+        LoadReport Load = Self->load();
+        MetricsRegistry &Metrics = Self->Parts_.Metrics_;
+        Metrics.set(Metric::Running, Load.Running_);
+        Metrics.set(Metric::Queued, Load.Queued_);
+        Metrics.set(Metric::ConcurrencyLimit, Load.Limit_);
+        Metrics.set(Metric::Keys, static_cast<std::int64_t>(Keys));
+        Self->armHousekeeping();
+      });
+}
+
+} // namespace marigold::node
--- /dev/null
+++ b/src/Node/TargetSide.cpp
@@ -0,0 +1,355 @@
+#include "Node/TargetSideImpl.h"
+
+#include "Calls/RequestKey.h"
+#include "Support/Digest.h"
+
+#include <boost/asio/post.hpp>
+
+namespace marigold::node {
+
+using admission::Admission;
+
+namespace {
+
+admission::AdmissionSettings admissionSettings(const NodeSettings &Settings) {
+  // One slot until the first configuration is read.
+  admission::AdmissionSettings Values;
+  Values.Adaptive_ = Settings.AdaptiveLimit_;
+  return Values;
+}
+
+calls::KeyTableSettings keySettings(const NodeSettings &Settings) {
+  calls::KeyTableSettings Values;
+  Values.Lifetime_ = Settings.KeyLifetime_;
+  Values.AnswerBytes_ = Settings.KeyMemory_;
+  return Values;
+}
+
+admission::DrainSettings drainSettings(const NodeSettings &Settings) {
+  admission::DrainSettings Values;
+  Values.Limit_ = Settings.DrainLimit_;
+  return Values;
+}
+
+} // namespace
+
+TargetSide::Impl::Impl(TargetSideParts Parts, std::uint64_t Incarnation,
+                       std::uint64_t Seed)
+    : Parts_(Parts), Pool_(Parts.Io_, Parts.Settings_.TargetAddress_),
+      Admission_{
+          {},
+          admission::AdmissionControl(admissionSettings(Parts.Settings_)),
+          admission::DrainControl(drainSettings(Parts.Settings_)),
+          admission::TargetMonitor({}, std::chrono::steady_clock::now()),
+          Random(Seed),
+          {},
+          {},
+          {},
+          {}},
+      Keys_{{},
+            calls::KeyTable(Parts.Environment_.ownRecord().Id_, Incarnation,
+                            hash64(Parts.Settings_.Mesh_),
+                            keySettings(Parts.Settings_),
+                            std::chrono::steady_clock::now()),
+            calls::CrashSuspects()},
+      Incarnation_(Incarnation), ExpiryTimer_(Parts.Io_),
+      ProbeTimer_(Parts.Io_), CrashTimer_(Parts.Io_), DrainTimer_(Parts.Io_),
+      Housekeeping_(Parts.Io_),
+      AdmittedTotal_(Parts.Metrics_.value(Metric::AdmittedTotal)) {
+  // Down until the first probe succeeds.
+  Admission_.Control_.targetDown(std::chrono::steady_clock::now());
+}
+
+std::optional<ErrorCode>
+TargetSide::Impl::refuseEarly(const CallStart &Start) const {
+  // A keyed request is decided by the key table first, which needs its body.
+  if (!Start.Key_.empty())
+    return std::nullopt;
+  if (Start.Service_ != Parts_.Settings_.Service_)
+    return ErrorCode::WrongService;
+  auto Current = Parts_.Environment_.snapshot();
+  if (!Current || Parts_.Environment_.gate() != CallGate::Open)
+    return ErrorCode::NotReady;
+  auto Route = Current->matchRoute(Start.Service_, Start.Method_, Start.Path_);
+  if (!Route)
+    return Route.error().Code_;
+  if (Start.BodySize_ > Route.value()->MaxBody_)
+    return ErrorCode::BodyTooLarge;
+  return std::nullopt;
+}
+
+void TargetSide::Impl::configure(const config::Snapshot &Current,
+                                 TimePoint Now) {
+  admission::AdmissionActions Actions;
+  std::size_t Connections = 0;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    if (Admission_.Configured_ == Current.version())
+      return;
+    const ServiceConfig *Service =
+        Current.findService(Parts_.Settings_.Service_);
+    if (!Service)
+      return;
+    Admission_.Configured_ = Current.version();
+    Actions =
+        Admission_.Control_.configure(Service->Slots_, Service->Queue_, Now);
+    Connections = std::max<std::size_t>(Service->Connections_, 1);
+  }
+  Pool_.setConnections(Connections);
+  apply(Actions);
+}
+
+std::optional<ErrorCode> TargetSide::Impl::check(TargetRun &Run,
+                                                 TimePoint Now) {
+  const CallStart &Start = Run.Start_;
+  if (Parts_.Settings_.Service_.empty() ||
+      Start.Service_ != Parts_.Settings_.Service_)
+    return ErrorCode::WrongService;
+  auto Current = Parts_.Environment_.snapshot();
+  if (!Current || Parts_.Environment_.gate() != CallGate::Open)
+    return ErrorCode::NotReady;
+  auto Route = Current->matchRoute(Start.Service_, Start.Method_, Start.Path_);
+  if (!Route)
+    return Route.error().Code_;
+  if (Start.BodySize_ > Route.value()->MaxBody_)
+    return ErrorCode::BodyTooLarge;
+  if (Start.Depth_ > Parts_.Settings_.MaxDepth_)
+    return ErrorCode::DepthExceeded;
+  configure(*Current, Now);
+  // Two nodes may hold different versions; the more cautious one counts.
+  Run.Repeatable_ = Start.Repeatable_ && Route.value()->Repeatable_;
+  Run.Start_.Priority_ = Route.value()->Priority_;
+  Run.Deadline_ = Run.Deadline_.limitedTo(Now, Route.value()->Deadline_);
+  return std::nullopt;
+}
+
+bool TargetSide::Impl::claimKey(const TargetRunPtr &Run, TimePoint Now) {
+  calls::Claim Claimed;
+  {
+    std::lock_guard Lock(Keys_.Mutex_);
+    Claimed = Keys_.Keys_.claim(Run->Start_.Key_, Run->Fingerprint_, Now);
+  }
+  switch (Claimed.Action_) {
+  case calls::ClaimAction::Run:
+    Run->KeyNumber_ = Claimed.Number_;
+    return true;
+  case calls::ClaimAction::Replay:
+    sendReply(Run, Claimed.Answer_->Status_, Claimed.Answer_->Headers_,
+              Claimed.Answer_->Body_, load(), Duration::zero());
+    return false;
+  case calls::ClaimAction::Refuse:
+    break;
+  }
+  Parts_.Metrics_.add(Metric::RefusedTotal, 1, errorText(Claimed.Reason_));
+  sendRefusal(Run, Claimed.Reason_, load());
+  return false;
+}
+
+std::optional<ErrorCode> TargetSide::Impl::admit(const TargetRunPtr &Run,
+                                                 TimePoint Now) {
+  {
+    std::lock_guard Lock(Keys_.Mutex_);
+    if (!Keys_.Suspects_.admit(Run->Fingerprint_, Now)) {
+      Parts_.Metrics_.add(Metric::HeldBackTotal);
+      return ErrorCode::HeldBack;
+    }
+  }
+  admission::Submission Decision;
+  TargetRunPtr Displaced;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    Decision = Admission_.Control_.submit(
+        {Run->Id_, Run->Start_.Priority_, Run->Deadline_.at()}, Now);
+    if (Decision.Admission_ != Admission::Refuse) {
+      Admission_.Runs_.emplace(Run->Id_, Run);
+      if (Run->Connection_)
+        Admission_.Streams_.emplace(
+            std::make_pair(Run->Connection_.get(), Run->Start_.Stream_),
+            Run->Id_);
+    }
+    if (Decision.Admission_ == Admission::Queue)
+      armExpiry();
+  }
+  if (Decision.Displaced_)
+    apply({{}, {*Decision.Displaced_}});
+  if (Decision.Admission_ == Admission::Refuse) {
+    std::lock_guard Lock(Keys_.Mutex_);
+    Keys_.Suspects_.onNotRun(Run->Fingerprint_);
+    return Decision.Reason_;
+  }
+  if (Decision.Admission_ == Admission::Run)
+    forward(Run);
+  return std::nullopt;
+}
+
+void TargetSide::Impl::accept(const TargetRunPtr &Run) {
+  TimePoint Now = std::chrono::steady_clock::now();
+  const CallStart &Start = Run->Start_;
+  Run->Deadline_ = calls::Deadline::after(Now, Start.Remaining_);
+  Run->Fingerprint_ = calls::requestFingerprint(
+      Start.Method_, Start.Path_,
+      Run->Body_ ? std::string_view(*Run->Body_) : std::string_view());
+  if (!Start.Key_.empty() && !claimKey(Run, Now))
+    return;
+  std::optional<ErrorCode> Code = check(*Run, Now);
+  if (!Code)
+    Code = admit(Run, Now);
+  if (Code)
+    refuse(Run, *Code);
+}
+
+std::uint64_t
+TargetSide::Impl::acceptLocal(CallStart Start,
+                              std::shared_ptr<const std::string> Body,
+                              transport::StreamCallback Done) {
+  auto Run = std::make_shared<TargetRun>();
+  Run->Id_ = ++LastId_;
+  Start.BodySize_ = Body ? Body->size() : 0;
+  Run->Start_ = std::move(Start);
+  Run->Body_ = std::move(Body);
+  Run->Local_ = std::move(Done);
+  accept(Run);
+  return Run->Id_;
+}
+
+TargetRunPtr TargetSide::Impl::findRun(std::uint64_t Id) {
+  std::lock_guard Lock(Admission_.Mutex_);
+  auto Position = Admission_.Runs_.find(Id);
+  return Position == Admission_.Runs_.end() ? nullptr : Position->second;
+}
+
+void TargetSide::Impl::cancelStream(
+    const transport::PeerConnectionPtr &Connection, std::uint32_t Stream) {
+  TargetRunPtr Run;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    auto Position = Admission_.Streams_.find({Connection.get(), Stream});
+    if (Position != Admission_.Streams_.end())
+      Run = Admission_.Runs_.at(Position->second);
+  }
+  if (Run)
+    cancelRun(Run);
+}
+
+void TargetSide::Impl::cancelRun(const TargetRunPtr &Run) {
+  admission::AdmissionActions Actions;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    Actions =
+        Admission_.Control_.cancel(Run->Id_, std::chrono::steady_clock::now());
+  }
+  apply(Actions);
+  // The run of a keyed request goes on: its caller resends the key to learn
+  // the answer, which a cancellation would turn into unknown for good.
+  if (Run->KeyNumber_)
+    return;
+  std::lock_guard Lock(Run->Mutex_);
+  Run->Cancelled_ = true;
+  if (Run->Job_ != 0)
+    Pool_.cancel(Run->Job_);
+}
+
+Result<std::string> TargetSide::Impl::issueKey(const std::string &Service) {
+  if (Service.empty() || Service != Parts_.Settings_.Service_)
+    return fail(ErrorCode::WrongService, Service);
+  auto Current = Parts_.Environment_.snapshot();
+  if (!Current || Parts_.Environment_.gate() != CallGate::Open)
+    return fail(ErrorCode::NotReady);
+  if (!Current->findService(Service))
+    return fail(ErrorCode::UnknownService, Service);
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    if (Admission_.Control_.draining())
+      return fail(ErrorCode::Draining);
+    if (!Admission_.Monitor_.isUp())
+      return fail(ErrorCode::TargetDown);
+  }
+  std::lock_guard Lock(Keys_.Mutex_);
+  return Keys_.Keys_.issue(std::chrono::steady_clock::now());
+}
+
+LoadReport TargetSide::Impl::load() const {
+  std::lock_guard Lock(Admission_.Mutex_);
+  return Admission_.Control_.load();
+}
+
+// The public class.
+
+TargetSide::TargetSide(TargetSideParts Parts, std::uint64_t Incarnation,
+                       std::uint64_t Seed)
+    : Impl_(std::make_shared<Impl>(Parts, Incarnation, Seed)) {}
+
+TargetSide::~TargetSide() { stop(); }
+
+void TargetSide::start() { Impl_->start(); }
+
+std::uint64_t TargetSide::callLocal(CallStart Start,
+                                    std::shared_ptr<const std::string> Body,
+                                    transport::StreamCallback Done) {
+  return Impl_->acceptLocal(std::move(Start), std::move(Body), std::move(Done));
+}
+
+void TargetSide::cancelLocal(std::uint64_t Number) {
+  if (TargetRunPtr Run = Impl_->findRun(Number))
+    Impl_->cancelRun(Run);
+}
+
+Result<std::string> TargetSide::issueKey(const std::string &Service) {
+  return Impl_->issueKey(Service);
+}
+
+void TargetSide::drain(std::function<void()> Done) {
+  Impl_->drain(std::move(Done));
+}
+
+void TargetSide::onCrashNotice(const CrashNotice &Notice) {
+  Impl_->onCrashNotice(Notice);
+}
+
+LoadReport TargetSide::load() const { return Impl_->load(); }
+
+bool TargetSide::targetUp() const {
+  std::lock_guard Lock(Impl_->Admission_.Mutex_);
+  return Impl_->Admission_.Monitor_.isUp();
+}
+
+void TargetSide::stop() { Impl_->stop(); }
+
+std::optional<CallRefused>
+TargetSide::onCallStart(const transport::PeerConnectionPtr &,
+                        const CallStart &Start) {
+  auto Code = Impl_->refuseEarly(Start);
+  if (!Code)
+    return std::nullopt;
+  Impl_->Parts_.Metrics_.add(Metric::RefusedTotal, 1, errorText(*Code));
+  return CallRefused{Start.Stream_, static_cast<std::uint16_t>(*Code),
+                     Impl_->load()};
+}
+
+void TargetSide::onCall(const transport::PeerConnectionPtr &Connection,
+                        CallStart Start, std::string Body) {
+  auto Run = std::make_shared<TargetRun>();
+  Run->Id_ = ++Impl_->LastId_;
+  Run->Start_ = std::move(Start);
+  Run->Body_ = std::make_shared<const std::string>(std::move(Body));
+  Run->Connection_ = Connection;
+  Impl_->accept(Run);
+}
+
+void TargetSide::onCallCancel(const transport::PeerConnectionPtr &Connection,
+                              std::uint32_t Stream) {
+  Impl_->cancelStream(Connection, Stream);
+}
+
+void TargetSide::onKeyRequest(const transport::PeerConnectionPtr &Connection,
+                              const KeyRequest &Request) {
+  auto Key = Impl_->issueKey(Request.Service_);
+  if (Key)
+    Connection->sendKey({Request.Stream_, std::move(Key.value())});
+  else
+    Connection->refuse({Request.Stream_,
+                        static_cast<std::uint16_t>(Key.error().Code_),
+                        Impl_->load()});
+}
+
+} // namespace marigold::node
--- a/src/Node/TargetSide.h
+++ b/src/Node/TargetSide.h
@@ -43,12 +43,12 @@
   void start();
 
   /// A call from the caller's side of the same node. Done is called exactly
-  /// once unless the call is cancelled. Returns a number for cancelLocal.
+  /// once, never within this call. Returns a number for cancelLocal.
   std::uint64_t callLocal(CallStart Start,
                           std::shared_ptr<const std::string> Body,
                           transport::StreamCallback Done);
 
-  /// Gives up a call of callLocal.
+  /// Gives up a call of callLocal; it still ends with a call of Done.
   void cancelLocal(std::uint64_t Number);
 
   /// Issues a key for the own target. Fails with KeyTableFull, WrongService,
--- /dev/null
+++ b/unittests/Node/MeshFixture.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "Node/CallerSide.h"
+#include "Node/PeerDispatcher.h"
+#include "Node/TargetSide.h"
+
+#include "TestSupport/NetworkFixture.h"
+
+#include "Config/Snapshot.h"
+#include "Transport/HttpServer.h"
+#include "Transport/PeerServer.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace marigold::node {
+
+/// Configuration and hosts that all nodes of a test see.
+struct SharedView {
+  std::mutex Mutex_;
+  std::shared_ptr<const config::Snapshot> Snapshot_;
+  std::map<HostId, HostRecord> Hosts_;
+  std::atomic<std::uint64_t> Generation_ = 1;
+};
+
+/// Control plane of one node under test.
+class FakeEnvironment : public CallEnvironment {
+public:
+  explicit FakeEnvironment(SharedView &View) : View_(View) {}
+
+  std::shared_ptr<const config::Snapshot> snapshot() const override;
+  std::uint64_t hostsGeneration() const override { return View_.Generation_; }
+  std::vector<HostRecord> hostsOfService(std::string_view Service) override;
+  CallGate gate() const override { return Gate_; }
+  HostRecord ownRecord() const override;
+  void reportHostFailure(const HostId &) override { ++Failures_; }
+  void ownStateChanged(HostState State) override;
+  void sendCrashNotice(const CrashNotice &Notice) override;
+
+  SharedView &View_;
+  HostRecord Own_;
+  std::atomic<CallGate> Gate_ = CallGate::Open;
+  std::atomic<int> Failures_ = 0;
+  /// Changes of the own state are ignored while this is false, as callers see
+  /// it before gossip arrives.
+  std::atomic<bool> Announce_ = true;
+  std::function<void(const CrashNotice &)> OnCrash_;
+};
+
+/// Passes frames on once the handler exists; the port of the peer server must
+/// be known before that.
+class LateHandler : public transport::PeerHandler {
+public:
+  std::optional<CallRefused> onCallStart(const transport::PeerConnectionPtr &,
+                                         const CallStart &) override;
+  void onCall(const transport::PeerConnectionPtr &, CallStart,
+              std::string) override;
+  void onCallCancel(const transport::PeerConnectionPtr &,
+                    std::uint32_t) override;
+  void onKeyRequest(const transport::PeerConnectionPtr &,
+                    const KeyRequest &) override;
+
+  std::atomic<transport::PeerHandler *> Target_ = nullptr;
+};
+
+/// Request path of one node on ephemeral ports.
+class TestNode {
+public:
+  /// TargetPort 0 gives a node without a service.
+  TestNode(boost::asio::io_context &Io, SharedView &View,
+           std::uint16_t TargetPort, const std::string &Service);
+  ~TestNode();
+  TestNode(const TestNode &) = delete;
+  TestNode &operator=(const TestNode &) = delete;
+
+  HostId id() const { return Environment_.Own_.Id_; }
+  std::uint16_t callerPort() const { return Callers_->port(); }
+
+  FakeEnvironment Environment_;
+  MetricsRegistry Metrics_;
+  NodeSettings Settings_;
+  LateHandler Handler_;
+  std::unique_ptr<transport::PeerServer> Server_;
+  std::unique_ptr<transport::PeerConnectionPool> Peers_;
+  std::unique_ptr<TargetSide> Target_;
+  std::unique_ptr<CallerSide> Callers_;
+};
+
+/// A target that answers through a function of the test and counts requests.
+class FakeTarget {
+public:
+  using Handler = std::function<void(transport::HttpRequest,
+                                     std::shared_ptr<transport::HttpExchange>)>;
+
+  /// Without a handler it answers 200 with the body of the request.
+  explicit FakeTarget(boost::asio::io_context &Io, Handler Answer = nullptr);
+
+  std::uint16_t port() const { return Server_.port(); }
+
+  std::atomic<int> Runs_ = 0;
+
+private:
+  transport::HttpServer Server_;
+};
+
+/// Two nodes: one without a target that takes the callers' requests, one with
+/// a target of service "desk".
+struct MeshFixture {
+  MeshFixture();
+  ~MeshFixture();
+
+  /// Adds a node whose target listens on this port and waits until it is up.
+  TestNode &addNode(std::uint16_t TargetPort);
+
+  /// Starts the caller's node.
+  TestNode &addCallerNode();
+
+  /// Sends a request to a node on a connection of its own.
+  static std::string request(const TestNode &Node, const std::string &Method,
+                             const std::string &Path,
+                             const std::string &Body = "",
+                             const std::string &Fields = "");
+
+  /// A new key from a node.
+  static std::string newKey(const TestNode &Node);
+
+  SharedView View_;
+  IoThreads Threads_;
+  std::vector<std::unique_ptr<TestNode>> Nodes_;
+};
+
+} // namespace marigold::node
