--- a/src/Transport/PeerLink.cpp
+++ b/src/Transport/PeerLink.cpp
@@ -73,6 +73,7 @@
                 encodeBody(Hello{PeerProtocolVersion, Options_.Mesh_,
                                  Options_.OwnRecord_ ? Options_.OwnRecord_()
                                                      : HostRecord{}})));
+  flush();
   armTimer(Options_.Limits_.Handshake_);
   read();
 }
