--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -297,7 +297,7 @@
   Pulls_.onSummary(Peer, Summary, Now);
   runPulls(Now, Out);
   if (Summary.Refused_.Version_.Revision_ != 0 &&
-      Store_.mergeRefusal(Summary.Refused_)) {
+      Store_.mergeRefusal(Summary.Refused_, Now)) {
     auto Code = errorFromNumber(Summary.Refused_.Code_);
     Out.Refused_.push_back({Summary.Refused_.Version_,
                             fail(Code.value_or(ErrorCode::SnapshotInvalid),
@@ -487,7 +487,7 @@
   if (Text.Refused_) {
     Refusal Refused{{0, Text.Index_},
                     static_cast<std::uint16_t>(Text.Refused_->Code_)};
-    if (Store_.refuse(Refused)) {
+    if (Store_.refuse(Refused, Now)) {
       Out.Refused_.push_back({Refused.Version_, *Text.Refused_});
       advertise(std::nullopt, Now, Out);
     }
--- /dev/null
+++ b/src/Transport/HttpGetMany.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Transport/HttpGet.h"
+
+#include <vector>
+
+namespace marigold::transport {
+
+/// Runs GET requests, at most Parallel at once, and blocks until all have
+/// ended. The results have the order of the requests. For command-line
+/// programs; a node uses httpGet.
+std::vector<Result<HttpGetResponse>>
+httpGetMany(std::vector<HttpGetRequest> Requests, std::size_t Parallel);
+
+} // namespace marigold::transport
