--- /dev/null
+++ b/unittests/Distribution/SourceReaderTest.cpp
@@ -0,0 +1,261 @@
+#include "Distribution/SourceReader.h"
+#include "Distribution/ReaderRanking.h"
+#include "Mesh/InMemoryMesh.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold::distribution {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t HostCount = 30;
+
+struct SourceReaderFixture {
+  SourceReaderFixture() {
+    for (std::uint32_t Number = 1; Number <= HostCount; ++Number) {
+      HostRecord Record;
+      Record.Id_ = {Number, 7400};
+      Record.Incarnation_ = 1;
+      Record.State_ = HostState::Ready;
+      Record.FailureDomain_ = domainOf(Number);
+      Table_.apply(Record, Now_);
+    }
+    Options_.RestartSpread_ = Duration(0);
+  }
+
+  std::string domainOf(std::uint32_t Number) {
+    return Number % 2 == 0 ? "quito" : "ambato";
+  }
+
+  SourceReader make(const HostId &Own) {
+    return {Table_,   Store_,    Confirmation_, Own, domainOf(Own.Ipv4_),
+            Options_, Random(1), Now_};
+  }
+
+  template <class Wanted> bool has(const SourceActions &From) {
+    for (const SourceAction &Each : From)
+      if (std::holds_alternative<Wanted>(Each))
+        return true;
+    return false;
+  }
+
+  // Ticks for Length; the time of the first fetch, if any.
+  std::optional<Duration> firstFetch(SourceReader &Reader, Duration Length) {
+    for (TimePoint Start = Now_; Now_ < Start + Length; Now_ += 50ms)
+      if (has<FetchText>(Reader.tick(Now_)))
+        return Now_ - Start;
+    return std::nullopt;
+  }
+
+  void hold(std::uint32_t Epoch, std::uint64_t Revision) {
+    REQUIRE(Store_.offer(
+        config::buildSnapshot(
+            testing::makeModel(Epoch, static_cast<std::uint32_t>(Revision)),
+            {Epoch, Revision}),
+        Now_));
+  }
+
+  // Reports an index and its fetched text, so that reader and source agree.
+  void agree(SourceReader &Reader, std::uint64_t Index) {
+    Reader.onKeys(Index, Now_);
+    REQUIRE(firstFetch(Reader, 2s));
+    Reader.onText(Index, Now_);
+  }
+
+  HostId firstReader() {
+    return readersOf(Table_, "quito", {2, 7400}, 2).front();
+  }
+
+  HostId nonReader() {
+    std::vector<HostId> Readers = readersOf(Table_, "quito", {2, 7400}, 2);
+    for (const HostId &Id : Table_.hostsOfFailureDomain("quito"))
+      if (Id != Readers[0] && Id != Readers[1])
+        return Id;
+    return {};
+  }
+
+  TimePoint Now_{1h};
+  membership::HostTable Table_;
+  VersionStore Store_;
+  SourceConfirmation Confirmation_;
+  SourceReaderOptions Options_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "two hosts of each failure domain read, others do not") {
+  std::size_t Readers = 0;
+  Confirmation_.confirm(Now_);
+  for (std::uint32_t Number = 1; Number <= HostCount; ++Number) {
+    SourceReader Reader = make({Number, 7400});
+    bool Watches = has<WatchKeys>(Reader.tick(Now_));
+    CHECK(Watches == Reader.isReader(Now_));
+    Readers += Watches;
+  }
+  CHECK(Readers == 4);
+}
+
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "dead reader is replaced by the next in rank") {
+  HostId First = firstReader();
+  HostRecord Record = Table_.find(First)->Record_;
+  Record.State_ = HostState::Dead;
+  Table_.apply(Record, Now_);
+  std::size_t Readers = 0;
+  for (const HostId &Id : Table_.hostsOfFailureDomain("quito"))
+    Readers += make(Id).isReader(Now_);
+  CHECK(Readers == 2);
+  CHECK_FALSE(Table_.hostsOfFailureDomain("quito").empty());
+}
+
+// Readers fetch one after the other, each version in another order.
+TEST_CASE_FIXTURE(SourceReaderFixture, "fetches are 150 ms apart") {
+  for (std::uint64_t Index : {7, 8}) {
+    std::vector<HostId> Readers = readersOf(Table_, "quito", {2, 7400}, 2);
+    for (const HostId &Id : readersOf(Table_, "ambato", {1, 7400}, 2))
+      Readers.push_back(Id);
+    std::vector<bool> Taken(4);
+    for (const HostId &Id : Readers) {
+      SourceReader Reader = make(Id);
+      Reader.onKeys(Index, Now_);
+      std::optional<Duration> Delay = firstFetch(Reader, 2s);
+      REQUIRE(Delay);
+      CHECK(*Delay % 150ms == Duration(0));
+      Taken[static_cast<std::size_t>(*Delay / 150ms)] = true;
+    }
+    CHECK(Taken == std::vector<bool>(4, true));
+  }
+}
+
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "fetch is skipped when a peer brought or refused the text") {
+  SourceReader Reader = make(firstReader());
+  hold(1, 6);
+  agree(Reader, 6);
+  Reader.onKeys(7, Now_);
+  hold(1, 7);
+  CHECK_FALSE(firstFetch(Reader, 2s));
+  Reader.onKeys(8, Now_);
+  Store_.mergeRefusal({{0, 8}, 205}, Now_);
+  CHECK_FALSE(firstFetch(Reader, 2s));
+  Reader.onKeys(9, Now_);
+  CHECK(firstFetch(Reader, 2s));
+}
+
+// F4: a fall of the index is counted; only the text can raise the epoch.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "fallen index is counted and its text fetched once") {
+  SourceReader Reader = make(firstReader());
+  hold(1, 100);
+  agree(Reader, 100);
+  Reader.onKeys(5, Now_);
+  CHECK(Reader.indexFalls() == 1);
+  REQUIRE(firstFetch(Reader, 2s));
+  Reader.onText(5, Now_);
+  Reader.onKeys(5, Now_);
+  CHECK_FALSE(firstFetch(Reader, 5s));
+  CHECK(Reader.indexFalls() == 1);
+  // Until the source agrees again, no index is taken for a known one.
+  Reader.onKeys(100, Now_);
+  CHECK(firstFetch(Reader, 2s));
+}
+
+// Guards against a stale refusal from before the source lost its history,
+// which hid a later valid text with the same index from all readers.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "old refusal does not hide a later text of that index") {
+  SourceReader Reader = make(firstReader());
+  Store_.mergeRefusal({{0, 11}, 205}, Now_);
+  hold(2, 8);
+  agree(Reader, 8);
+  Now_ += 60s;
+  Reader.onKeys(11, Now_);
+  CHECK(firstFetch(Reader, 2s));
+}
+
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "index that changes during a fetch is fetched after it") {
+  SourceReader Reader = make(firstReader());
+  hold(1, 5);
+  Reader.onKeys(6, Now_);
+  REQUIRE(firstFetch(Reader, 2s));
+  Reader.onKeys(7, Now_);
+  hold(1, 6);
+  Reader.onText(6, Now_);
+  CHECK(firstFetch(Reader, 2s));
+  hold(1, 7);
+  Reader.onText(7, Now_);
+  CHECK_FALSE(firstFetch(Reader, 2s));
+}
+
+// F2: failed calls are repeated with a growing delay, not in a loop.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "failed watch is repeated with backoff") {
+  SourceReader Reader = make(firstReader());
+  int Calls = 0;
+  for (TimePoint End = Now_ + 300s; Now_ < End; Now_ += 50ms)
+    if (has<WatchKeys>(Reader.tick(Now_))) {
+      ++Calls;
+      Reader.onFailure(SourceCall::Keys, Now_);
+    }
+  CHECK(Calls > 10);
+  CHECK(Calls < 60);
+}
+
+// A source that answers each watch at once must not be called in a loop.
+TEST_CASE_FIXTURE(SourceReaderFixture, "watch is repeated after a gap") {
+  SourceReader Reader = make(firstReader());
+  int Calls = 0;
+  for (TimePoint End = Now_ + 10s; Now_ < End; Now_ += 10ms)
+    if (has<WatchKeys>(Reader.tick(Now_))) {
+      ++Calls;
+      Reader.onKeys(0, Now_);
+    }
+  CHECK(Calls <= 50);
+}
+
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "other hosts take over when no confirmation is young") {
+  HostId Other = nonReader();
+  SourceReader Reader = make(Other);
+  auto Overtakes = [&](Duration Length) {
+    int Calls = 0;
+    for (TimePoint End = Now_ + Length; Now_ < End; Now_ += 50ms)
+      if (has<WatchKeys>(Reader.tick(Now_))) {
+        ++Calls;
+        Reader.onFailure(SourceCall::Keys, Now_);
+      }
+    return Calls;
+  };
+  Confirmation_.confirm(Now_);
+  CHECK(Overtakes(9s) == 0);
+  CHECK(Overtakes(60s) >= 1);
+  Confirmation_.confirm(Now_);
+  CHECK(Overtakes(9s) == 0);
+}
+
+TEST_CASE_FIXTURE(SourceReaderFixture, "only readers read the host list") {
+  Confirmation_.confirm(Now_);
+  SourceReader Reader = make(firstReader());
+  SourceReader Other = make(nonReader());
+  CHECK(has<ReadHosts>(Reader.tick(Now_)));
+  CHECK_FALSE(has<ReadHosts>(Reader.tick(Now_ + 50ms)));
+  Reader.onHosts(Now_ + 100ms);
+  CHECK_FALSE(has<ReadHosts>(Reader.tick(Now_ + 10s)));
+  CHECK(has<ReadHosts>(Reader.tick(Now_ + 46s)));
+  CHECK_FALSE(has<ReadHosts>(Other.tick(Now_ + 5s)));
+}
+
+// F1: a node that just started knows few hosts and would rank itself first.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "role of a reader starts after the restart spread") {
+  Options_.RestartSpread_ = 10s;
+  SourceReader Reader = make(firstReader());
+  CHECK(Reader.tick(Now_ + 4900ms).empty());
+  CHECK_FALSE(Reader.tick(Now_ + 10s).empty());
+}
+
+} // namespace marigold::distribution
--- /dev/null
+++ b/unittests/Distribution/VersionStoreTest.cpp
@@ -0,0 +1,239 @@
+#include "Distribution/PullPlanner.h"
+#include "Distribution/SourceConfirmation.h"
+#include "Distribution/SpreadPolicy.h"
+#include "Mesh/InMemoryMesh.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace marigold::distribution {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+config::SnapshotPointer snapshot(std::uint32_t Epoch, std::uint64_t Revision,
+                                 std::uint32_t Content) {
+  return config::buildSnapshot(testing::makeModel(Epoch, Content),
+                               {Epoch, Revision});
+}
+
+struct VersionStoreFixture {
+  ErrorCode codeOf(const Result<void> &Outcome) {
+    REQUIRE_FALSE(Outcome);
+    return Outcome.error().Code_;
+  }
+
+  HostRecord record(std::uint32_t Number, const char *FailureDomain) {
+    HostRecord Record;
+    Record.Id_ = {Number, 7400};
+    Record.Incarnation_ = 1;
+    Record.State_ = HostState::Ready;
+    Record.FailureDomain_ = FailureDomain;
+    return Record;
+  }
+
+  TimePoint Now_{1h};
+  VersionStore Store_;
+};
+
+} // namespace
+
+// F3, F4, F9: only a strictly greater version is adopted.
+TEST_CASE_FIXTURE(VersionStoreFixture, "version store orders its offers") {
+  REQUIRE(Store_.offer(snapshot(2, 10, 1), Now_));
+  struct Row {
+    std::uint32_t Epoch_;
+    std::uint64_t Revision_;
+    std::uint32_t Content_;
+    ErrorCode Code_;
+  };
+  for (const Row &Each : {Row{2, 10, 1, ErrorCode::VersionCurrent},
+                          Row{2, 10, 2, ErrorCode::VersionConflict},
+                          Row{2, 9, 1, ErrorCode::VersionOlder},
+                          Row{1, 99, 3, ErrorCode::VersionOlder}})
+    CHECK(codeOf(Store_.offer(
+              snapshot(Each.Epoch_, Each.Revision_, Each.Content_), Now_)) ==
+          Each.Code_);
+  CHECK(Store_.version() == ConfigVersion{2, 10});
+  CHECK(Store_.counts().Older_ == 2);
+  CHECK(Store_.counts().Conflicting_ == 1);
+  CHECK(Store_.offer(snapshot(3, 1, 4), Now_));
+  CHECK(Store_.version() == ConfigVersion{3, 1});
+  CHECK(codeOf(Store_.offer(nullptr, Now_)) == ErrorCode::SnapshotInvalid);
+}
+
+// G2: an invalid snapshot with a greater version changes nothing.
+TEST_CASE_FIXTURE(VersionStoreFixture, "version store validates before swap") {
+  REQUIRE(Store_.offer(snapshot(1, 1, 1), Now_));
+  config::SnapshotPointer Held = Store_.current();
+  config::ServiceModel Dangling = testing::makeModel(1, 2);
+  Dangling.Services_[0].DependsOn_ = {"absent"};
+  CHECK(codeOf(Store_.offerFromSource(config::buildSnapshot(Dangling, {1, 2}),
+                                      Now_)) == ErrorCode::SnapshotInvalid);
+  CHECK(Store_.current() == Held);
+  REQUIRE(Store_.lastRefusal());
+  CHECK(Store_.lastRefusal()->Version_ == ConfigVersion{1, 2});
+  REQUIRE(Store_.offer(snapshot(1, 3, 3), Now_));
+  CHECK_FALSE(Store_.lastRefusal());
+}
+
+TEST_CASE_FIXTURE(VersionStoreFixture,
+                  "answer is a delta for recent versions, whole for others") {
+  for (std::uint32_t Revision = 1; Revision <= 12; ++Revision)
+    REQUIRE(Store_.offer(snapshot(1, Revision, Revision), Now_));
+  for (std::uint32_t Have = 1; Have <= 12; ++Have) {
+    VersionStore Peer;
+    REQUIRE(Peer.offer(snapshot(1, Have, Have), Now_));
+    SyncReply Reply = Store_.answer(Peer.request());
+    CHECK(Reply.Kind_ == (Have == 12  ? SyncKind::Unchanged
+                          : Have >= 5 ? SyncKind::Delta
+                                      : SyncKind::Whole));
+    CHECK(bool(Peer.offerReply(Reply, Now_)) == (Have != 12));
+    CHECK(Peer.version() == Store_.version());
+    CHECK(Peer.digest() == Store_.digest());
+  }
+  // Same version as a base, but other content: a delta would not apply.
+  VersionStore Forked;
+  REQUIRE(Forked.offer(snapshot(1, 11, 500), Now_));
+  CHECK(Store_.answer(Forked.request()).Kind_ == SyncKind::Whole);
+  // A peer that is ahead, and a store without a version.
+  VersionStore Ahead;
+  REQUIRE(Ahead.offer(snapshot(1, 13, 1), Now_));
+  CHECK(Store_.answer(Ahead.request()).Kind_ == SyncKind::Unchanged);
+  CHECK(VersionStore().answer({}).Kind_ == SyncKind::Unchanged);
+}
+
+// G3: a reply whose content differs from its digest is refused as a whole.
+TEST_CASE_FIXTURE(VersionStoreFixture,
+                  "reply with altered content is refused") {
+  REQUIRE(Store_.offer(snapshot(1, 1, 1), Now_));
+  VersionStore Newer;
+  REQUIRE(Newer.offer(snapshot(1, 1, 1), Now_));
+  REQUIRE(Newer.offer(snapshot(1, 2, 2), Now_));
+  SyncReply Delta = Newer.answer(Store_.request());
+  REQUIRE(Delta.Delta_.Changed_.size() == 1);
+  Delta.Delta_.Changed_[0].Slots_ += 1;
+  CHECK(codeOf(Store_.offerReply(Delta, Now_)) == ErrorCode::DigestMismatch);
+  SyncReply Whole = Newer.answer({});
+  Whole.Image_.Services_.pop_back();
+  CHECK_FALSE(Store_.offerReply(Whole, Now_));
+  CHECK(Store_.version() == ConfigVersion{1, 1});
+  CHECK(codeOf(VersionStore().offerReply(Delta, Now_)) ==
+        ErrorCode::DeltaBaseMismatch);
+}
+
+TEST_CASE_FIXTURE(VersionStoreFixture, "history keeps the last 64 versions") {
+  for (std::uint32_t Revision = 1; Revision <= 70; ++Revision)
+    REQUIRE(Store_.offer(snapshot(1, Revision, Revision), Now_));
+  REQUIRE(Store_.history().size() == 64);
+  CHECK(Store_.history().front().Version_.Revision_ == 7);
+  CHECK(Store_.history().back().Digest_ == Store_.digest());
+}
+
+// F9: a refusal spreads once, and not after a newer version is in force.
+TEST_CASE_FIXTURE(VersionStoreFixture, "refusal of a peer is news once") {
+  Refusal Refused{{0, 5}, 205};
+  CHECK(Store_.mergeRefusal(Refused, Now_));
+  CHECK_FALSE(Store_.mergeRefusal(Refused, Now_));
+  CHECK_FALSE(Store_.mergeRefusal({}, Now_));
+  CHECK(Store_.isRefused(5, Now_));
+  CHECK_FALSE(Store_.isRefused(5, Now_ + 1s));
+  REQUIRE(Store_.offer(snapshot(1, 6, 1), Now_));
+  CHECK_FALSE(Store_.lastRefusal());
+  CHECK_FALSE(Store_.mergeRefusal({{1, 4}, 205}, Now_));
+  CHECK(Store_.mergeRefusal({{2, 3}, 205}, Now_));
+}
+
+TEST_CASE_FIXTURE(VersionStoreFixture,
+                  "pull planner runs one pull and asks for the whole after a "
+                  "failed delta") {
+  REQUIRE(Store_.offer(snapshot(1, 1, 1), Now_));
+  PullPlanner Planner(Store_, Random(1));
+  HostId First{1, 7400};
+  HostId Second{2, 7400};
+  NodeSummary Summary;
+  Summary.Version_ = {1, 3};
+  Planner.onSummary(First, Summary, Now_);
+  Summary.Version_ = {1, 2};
+  Planner.onSummary(Second, Summary, Now_);
+  std::optional<Pull> Started = Planner.tick(Now_);
+  REQUIRE(Started);
+  CHECK(Started->Peer_ == First);
+  CHECK(Started->Request_.Have_ == ConfigVersion{1, 1});
+  CHECK_FALSE(Planner.tick(Now_));
+  Planner.onPulled(First, fail(ErrorCode::DigestMismatch), Now_);
+  Started = Planner.tick(Now_);
+  REQUIRE(Started);
+  CHECK(Started->Peer_ == First);
+  CHECK(Started->Request_.Have_ == ConfigVersion{});
+  Planner.onPulled(First, fail(ErrorCode::ConnectionFailed), Now_);
+  Started = Planner.tick(Now_ + 50ms);
+  REQUIRE(Started);
+  CHECK(Started->Peer_ == Second);
+  // A lost answer does not block later pulls.
+  Planner.onSummary(First, Summary, Now_);
+  CHECK(Planner.tick(Now_ + 6s));
+  // The held version with another digest is counted, not pulled.
+  Summary.Version_ = {1, 1};
+  Planner.onSummary(Second, Summary, Now_);
+  CHECK(Planner.conflicts() == 1);
+}
+
+TEST_CASE_FIXTURE(VersionStoreFixture,
+                  "spread policy tells half of its peers in the own domain") {
+  membership::HostTable Table;
+  for (std::uint32_t Number = 1; Number <= 40; ++Number)
+    Table.apply(record(Number, Number % 2 == 0 ? "quito" : "ambato"), Now_);
+  struct Row {
+    SpreadProfile Profile_;
+    std::ptrdiff_t Local_;
+    std::size_t All_;
+  };
+  for (const Row &Each :
+       {Row{SpreadProfile::Fast, 4, 8}, Row{SpreadProfile::Frugal, 2, 3}}) {
+    SpreadPolicy Policy(Each.Profile_, {2, 7400}, "quito", Random(1));
+    NodeSummary News;
+    CHECK(Policy.receivers(News, Table, std::nullopt).empty());
+    News.Version_ = {1, 1};
+    std::vector<HostId> Chosen = Policy.receivers(News, Table, HostId{4, 7400});
+    CHECK(Chosen.size() == Each.All_);
+    CHECK(std::count_if(Chosen.begin(), Chosen.end(), [](const HostId &Id) {
+            return Id.Ipv4_ % 2 == 0;
+          }) == Each.Local_);
+    CHECK(std::none_of(Chosen.begin(), Chosen.end(), [](const HostId &Id) {
+      return Id.Ipv4_ == 2 || Id.Ipv4_ == 4;
+    }));
+    CHECK(Policy.receivers(News, Table, std::nullopt).empty());
+    News.Refused_ = {{0, 2}, 205};
+    CHECK(Policy.receivers(News, Table, std::nullopt).size() == Each.All_);
+  }
+}
+
+// An age must never come out younger than it is, or no node would notice that
+// all readers are gone.
+TEST_CASE_FIXTURE(VersionStoreFixture,
+                  "confirmation passed on gets no younger") {
+  std::vector<SourceConfirmation> Nodes(10);
+  Nodes[0].confirm(Now_);
+  Random Rng(1);
+  for (int Step = 1; Step <= 3000; ++Step) {
+    std::size_t From = Rng.below(Nodes.size());
+    std::size_t To = Rng.below(Nodes.size());
+    auto Age = Nodes[From].age(Now_ + Step * 10ms);
+    // 8 ms on the wire.
+    Nodes[To].learn(Age, Now_ + Step * 10ms + 8ms);
+  }
+  for (const SourceConfirmation &Node : Nodes) {
+    CHECK(Node.age(Now_ + 30s) >= 30s);
+    CHECK(Node.age(Now_ + 30s) <= 31s);
+  }
+  SourceConfirmation Fresh;
+  Fresh.learn(NeverConfirmed, Now_);
+  CHECK(Fresh.age(Now_) == NeverConfirmed);
+  Fresh.learn(-5s, Now_);
+  CHECK(Fresh.age(Now_) == HopAllowance);
+}
+
+} // namespace marigold::distribution
--- a/unittests/Membership/MeshMembershipTest.cpp
+++ b/unittests/Membership/MeshMembershipTest.cpp
@@ -1,4 +1,5 @@
 #include "Mesh/InMemoryMesh.h"
+#include "TestSeed.h"
 
 #include <doctest/doctest.h>
 
--- a/unittests/Mesh/InMemoryMesh.cpp
+++ b/unittests/Mesh/InMemoryMesh.cpp
@@ -4,7 +4,6 @@
 #include "Support/Archive.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace marigold::testing {
 
@@ -18,11 +17,6 @@
 
 } // namespace
 
-std::uint64_t testSeed(std::uint64_t Default) {
-  const char *Text = std::getenv("MARIGOLD_TEST_SEED");
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 config::ServiceModel makeModel(std::uint32_t Epoch, std::uint32_t Number) {
   config::ServiceModel Model;
   Model.Epoch_ = Epoch;
--- a/unittests/Mesh/InMemoryMesh.h
+++ b/unittests/Mesh/InMemoryMesh.h
@@ -123,9 +123,6 @@
   std::set<std::pair<ConfigVersion, Digest128>> Published_;
 };
 
-/// Seed of a test: MARIGOLD_TEST_SEED if set, Default otherwise.
-std::uint64_t testSeed(std::uint64_t Default);
-
 /// A small valid model whose content depends on Number.
 config::ServiceModel makeModel(std::uint32_t Epoch, std::uint32_t Number);
 
