--- a/src/Transport/PeerLink.cpp
+++ b/src/Transport/PeerLink.cpp
@@ -19,7 +19,8 @@
 
 // A frame starts with its length (4 bytes, big-endian, counting type and body)
 // and its type.
-constexpr std::size_t FrameHead = 5;
+constexpr std::size_t LengthSize = 4;
+constexpr std::size_t FrameHead = LengthSize + 1;
 constexpr std::size_t ReadSize = 64 * 1024;
 // Bytes of one write. Larger batches save system calls but let a control
 // frame wait longer behind data.
@@ -49,7 +50,7 @@
 std::string makeFrame(MessageType Type, std::string_view Body) {
   std::string Frame(FrameHead, '\0');
   storeLength(Frame.data(), Body.size() + 1);
-  Frame[FrameHead - 1] = static_cast<char>(Type);
+  Frame[LengthSize] = static_cast<char>(Type);
   Frame.append(Body);
   return Frame;
 }
@@ -174,28 +175,30 @@
 }
 
 Result<void> PeerLink::parseFrames() {
-  while (InputEnd_ - InputBegin_ >= FrameHead) {
+  while (InputEnd_ - InputBegin_ >= LengthSize) {
     const char *Begin = Input_.data() + InputBegin_;
     std::size_t Length = loadLength(Begin);
-    auto Type = static_cast<std::uint8_t>(Begin[FrameHead - 1]);
+    if (Length == 0)
+      return marigold::fail(ErrorCode::MessageMalformed, "empty frame");
+    if (InputEnd_ - InputBegin_ < FrameHead)
+      return success();
+    auto Type = static_cast<std::uint8_t>(Begin[LengthSize]);
     const PeerLimits &Limits = Options_.Limits_;
     std::size_t Limit =
         Type == static_cast<std::uint8_t>(MessageType::SyncReply)
             ? Limits.SnapshotFrame_
             : Limits.Frame_;
-    if (Length == 0)
-      return marigold::fail(ErrorCode::MessageMalformed, "empty frame");
     if (Length - 1 > Limit)
       return marigold::fail(ErrorCode::MessageTooLarge,
                             std::to_string(Length - 1) + " bytes in " +
                                 std::string(messageName(Type)));
-    if (InputEnd_ - InputBegin_ < Length + 4)
+    if (InputEnd_ - InputBegin_ < LengthSize + Length)
       return success();
     BOOST_OUTCOME_TRY(
         dispatchFrame(Type, std::string_view(Begin + FrameHead, Length - 1)));
     if (Closed_)
       return success();
-    InputBegin_ += Length + 4;
+    InputBegin_ += LengthSize + Length;
   }
   return success();
 }
--- a/unittests/TestSupport/NetworkFixture.cpp
+++ b/unittests/TestSupport/NetworkFixture.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdlib>
 #include <stdexcept>
 
@@ -90,8 +91,10 @@
   std::size_t Got = 0;
   while (Got < Size) {
     ssize_t Part = ::recv(Descriptor_, Data.data() + Got, Size - Got, 0);
-    if (Part <= 0)
+    if (Part <= 0) {
+      Ended_ = Part == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
       break;
+    }
     Got += static_cast<std::size_t>(Part);
   }
   Data.resize(Got);
--- a/unittests/TestSupport/NetworkFixture.h
+++ b/unittests/TestSupport/NetworkFixture.h
@@ -92,6 +92,13 @@
   /// Everything until the peer closes.
   std::string receiveAll();
 
+  /// Whether the peer has closed or reset the connection, as the last receive
+  /// found it; false when that only met TestGuard.
+  bool ended() const { return Ended_; }
+
+  /// Whether the peer ends the connection without sending anything.
+  bool endsSilently() { return receiveAll().empty() && Ended_; }
+
   /// Closes the sending side.
   void finishSending();
 
@@ -100,6 +107,7 @@
 
 private:
   int Descriptor_ = -1;
+  bool Ended_ = false;
 };
 
 /// A listening socket whose connections a test serves itself.
--- /dev/null
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -0,0 +1,306 @@
+#include "Transport/DatagramSocket.h"
+#include "Transport/HttpClientPool.h"
+#include "Transport/HttpGet.h"
+
+#include "TestSupport/NetworkFixture.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold::transport {
+
+namespace {
+
+const std::string Good =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\n\r\nok";
+
+struct HttpClientFixture {
+  ~HttpClientFixture() { Threads_.stop(); }
+
+  HttpClientPool &pool(HttpClientLimits Limits = {}) {
+    if (!Pool_)
+      Pool_.emplace(Threads_.Io_, Address{Loopback, Listener_.port()}, Limits);
+    return *Pool_;
+  }
+
+  std::uint64_t send(Waiter<HttpClientResult> &Got, bool Repeatable,
+                     Duration Limit = std::chrono::minutes(1)) {
+    HttpClientRequest Request{"POST",
+                              "/a",
+                              {},
+                              "body",
+                              "desk",
+                              Repeatable,
+                              std::chrono::steady_clock::now() + Limit};
+    return pool().send(std::move(Request), [&Got](HttpClientResult Value) {
+      Got.set(std::move(Value));
+    });
+  }
+
+  /// The failure of a request; null after a response.
+  static std::unique_ptr<HttpClientFailure>
+  failureOf(Waiter<HttpClientResult> &Got) {
+    auto Value = Got.take();
+    REQUIRE(Value);
+    return std::move(Value->Failure_);
+  }
+
+  IoThreads Threads_;
+  RawListener Listener_;
+  std::optional<HttpClientPool> Pool_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "http client reuses a connection for repeatable requests") {
+  Waiter<HttpClientResult> Got;
+  send(Got, true);
+  RawConnection First = Listener_.accept();
+  std::string Request = First.receiveHttp();
+  CHECK(Request.starts_with("POST /a HTTP/1.1\r\n"));
+  CHECK(fieldOf(Request, "host") == "desk");
+  CHECK(bodyOf(Request) == "body");
+  First.send(Good);
+  auto Value = Got.take();
+  REQUIRE(Value);
+  REQUIRE(Value->Response_);
+  CHECK(Value->Response_->Status_ == 200);
+  CHECK(Value->Response_->Body_ == "ok");
+  CHECK(findHeader(Value->Response_->Headers_, "x-a") == "b");
+  send(Got, true);
+  CHECK(!First.receiveHttp().empty());
+  First.send(Good);
+  CHECK_FALSE(failureOf(Got));
+  // A request that may not be repeated never depends on an idle connection.
+  send(Got, false);
+  RawConnection Second = Listener_.accept();
+  CHECK(!Second.receiveHttp().empty());
+  Second.send(Good);
+  CHECK_FALSE(failureOf(Got));
+}
+
+// Guards against unknown as the result of an idle connection that the target
+// has closed.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "http client survives the close of an idle connection") {
+  for (bool Repeatable : {true, false}) {
+    CAPTURE(Repeatable);
+    Waiter<HttpClientResult> Got;
+    send(Got, Repeatable);
+    {
+      RawConnection Idle = Listener_.accept();
+      Idle.receiveHttp();
+      Idle.send(Good);
+      CHECK_FALSE(failureOf(Got));
+    }
+    send(Got, Repeatable);
+    RawConnection Fresh = Listener_.accept();
+    Fresh.receiveHttp();
+    Fresh.send(Good);
+    CHECK_FALSE(failureOf(Got));
+  }
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "http client reports whether a byte was written") {
+  Waiter<HttpClientResult> Got;
+  send(Got, false);
+  {
+    RawConnection Lost = Listener_.accept();
+    Lost.receiveHttp();
+    Lost.close(true);
+  }
+  auto Failed = failureOf(Got);
+  REQUIRE(Failed);
+  CHECK(Failed->Written_);
+  CHECK(Failed->Lost_);
+  Listener_.close();
+  send(Got, false);
+  Failed = failureOf(Got);
+  REQUIRE(Failed);
+  CHECK_FALSE(Failed->Written_);
+}
+
+// Each row is an answer that is incomplete or may belong to another request.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "http client refuses malformed and incomplete responses") {
+  struct Row {
+    std::string Name_;
+    std::string Text_;
+    ErrorCode Code_;
+  };
+  const std::vector<Row> Rows{
+      {"cut body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+       ErrorCode::ConnectionFailed},
+      {"cut chunk",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+       ErrorCode::ConnectionFailed},
+      {"no end of the body", "HTTP/1.1 200 OK\r\n\r\nok",
+       ErrorCode::MalformedAnswer},
+      {"length and coding",
+       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+       "Transfer-Encoding: chunked\r\n\r\nok",
+       ErrorCode::MalformedAnswer},
+      {"not http", "SSH-2.0-x\r\n\r\n", ErrorCode::MalformedAnswer},
+      {"body beyond the limit",
+       "HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n",
+       ErrorCode::AnswerTooLarge},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.Name_);
+    Waiter<HttpClientResult> Got;
+    send(Got, true);
+    RawConnection Target = Listener_.accept();
+    Target.receiveHttp();
+    Target.send(Case.Text_);
+    Target.close();
+    auto Failed = failureOf(Got);
+    REQUIRE(Failed);
+    CHECK(Failed->Written_);
+    CHECK(Failed->Why_.Code_ == Case.Code_);
+  }
+}
+
+// Guards against an answer that is taken for that of the next request.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "http client closes a connection with surplus bytes") {
+  Waiter<HttpClientResult> Got;
+  send(Got, true);
+  RawConnection First = Listener_.accept();
+  First.receiveHttp();
+  First.send(Good + Good);
+  CHECK_FALSE(failureOf(Got));
+  CHECK(First.endsSilently());
+  send(Got, true);
+  RawConnection Second = Listener_.accept();
+  Second.receiveHttp();
+  Second.send("HTTP/1.1 204 No Content\r\n\r\n");
+  auto Value = Got.take();
+  REQUIRE(Value);
+  REQUIRE(Value->Response_);
+  CHECK(Value->Response_->Status_ == 204);
+}
+
+// Guards against a late answer on a connection that is used again.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "http client closes the connection at cancel and deadline") {
+  Waiter<HttpClientResult> Got;
+  auto Number = send(Got, true);
+  {
+    RawConnection Target = Listener_.accept();
+    Target.receiveHttp();
+    pool().cancel(Number);
+    CHECK(Target.endsSilently());
+  }
+  auto Failed = failureOf(Got);
+  REQUIRE(Failed);
+  CHECK(Failed->Why_.Code_ == ErrorCode::Cancelled);
+  send(Got, true, std::chrono::milliseconds(50));
+  RawConnection Target = Listener_.accept();
+  Failed = failureOf(Got);
+  REQUIRE(Failed);
+  CHECK(Failed->Why_.Code_ == ErrorCode::TimedOut);
+  CHECK(!Target.receiveAll().empty());
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "http client beyond its connections waits for one") {
+  HttpClientLimits Limits;
+  Limits.Connections_ = 1;
+  pool(Limits);
+  Waiter<HttpClientResult> First;
+  Waiter<HttpClientResult> Second;
+  send(First, true);
+  RawConnection Target = Listener_.accept();
+  Target.receiveHttp();
+  send(Second, true);
+  Target.send(Good);
+  CHECK_FALSE(failureOf(First));
+  CHECK(!Target.receiveHttp().empty());
+  Target.send(Good);
+  CHECK_FALSE(failureOf(Second));
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "http get reports each kind of end") {
+  struct Row {
+    std::string Name_;
+    std::string Answer_;
+    std::optional<ErrorCode> Code_;
+  };
+  const std::vector<Row> Rows{
+      {"complete",
+       "HTTP/1.1 404 Not Found\r\nX-Consul-Index: 7\r\n"
+       "Content-Length: 2\r\n\r\nok",
+       std::nullopt},
+      {"cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+       ErrorCode::MalformedAnswer},
+      {"too large", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n",
+       ErrorCode::AnswerTooLarge},
+      {"no end", "HTTP/1.1 200 OK\r\n\r\nok", ErrorCode::MalformedAnswer},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.Name_);
+    Waiter<Result<HttpGetResponse>> Got;
+    httpGet(Threads_.Io_,
+            {{Loopback, Listener_.port()}, "/v1/kv/k?raw", TestGuard, 100},
+            [&](Result<HttpGetResponse> Value) { Got.set(std::move(Value)); });
+    RawConnection Server = Listener_.accept();
+    CHECK(Server.receiveHttp().starts_with("GET /v1/kv/k?raw HTTP/1.1\r\n"));
+    Server.send(Case.Answer_);
+    Server.close();
+    auto Value = Got.take();
+    REQUIRE(Value);
+    REQUIRE(Value->has_value() == !Case.Code_);
+    if (Case.Code_) {
+      CHECK(Value->error().Code_ == *Case.Code_);
+      continue;
+    }
+    CHECK(Value->value().Response_.Status_ == 404);
+    CHECK(findHeader(Value->value().Response_.Headers_, "x-consul-index") ==
+          "7");
+  }
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "http get ends at timeout and cancel") {
+  for (bool Cancel : {true, false}) {
+    CAPTURE(Cancel);
+    Waiter<Result<HttpGetResponse>> Got;
+    auto Stop = httpGet(
+        Threads_.Io_,
+        {{Loopback, Listener_.port()},
+         "/",
+         Cancel ? Duration(TestGuard) : std::chrono::milliseconds(50),
+         100},
+        [&](Result<HttpGetResponse> Value) { Got.set(std::move(Value)); });
+    RawConnection Server = Listener_.accept();
+    if (Cancel)
+      Stop();
+    auto Value = Got.take();
+    REQUIRE(Value);
+    REQUIRE_FALSE(Value->has_value());
+    CHECK(Value->error().Code_ ==
+          (Cancel ? ErrorCode::Cancelled : ErrorCode::TimedOut));
+  }
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "datagram socket delivers and counts datagrams") {
+  Waiter<std::string> Got;
+  DatagramSocket Receiver(Threads_.Io_,
+                          [&](const Address &, std::string_view Data) {
+                            Got.set(std::string(Data));
+                          });
+  DatagramSocket Sender(Threads_.Io_, [](const Address &, std::string_view) {});
+  REQUIRE(Receiver.open({Loopback, 0}));
+  REQUIRE(Sender.open({Loopback, 0}));
+  Address To{Loopback, Receiver.port()};
+  CHECK_FALSE(Sender.send(To, std::string(DatagramLimit + 1, 'x')));
+  CHECK(Sender.send(To, std::string(DatagramLimit, 'x')));
+  CHECK(Got.take() == std::string(DatagramLimit, 'x'));
+  CHECK(Sender.counters().SentBytes_ == DatagramLimit);
+  CHECK(Sender.counters().Dropped_ == 1);
+  CHECK(Receiver.counters().ReceivedBytes_ == DatagramLimit);
+  Threads_.stop();
+}
+
+} // namespace marigold::transport
--- /dev/null
+++ b/unittests/Transport/HttpServerTest.cpp
@@ -0,0 +1,234 @@
+#include "Transport/HttpServer.h"
+
+#include "TestSupport/NetworkFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+
+namespace marigold::transport {
+
+namespace {
+
+struct HttpServerFixture {
+  HttpServerFixture() {
+    Options_.OnRequest_ = [this](HttpRequest Request,
+                                 std::shared_ptr<HttpExchange> Exchange) {
+      ++Requests_;
+      if (Request.Target_ == "/held") {
+        Held_.set(std::move(Exchange));
+        return;
+      }
+      HttpResponse Response;
+      Response.Headers_ = {{"x-method", Request.Method_}};
+      Response.Body_ =
+          Request.Target_ + "|" + Request.Host_ + "|" + Request.Body_;
+      Exchange->respond(std::move(Response));
+    };
+    Options_.BodyLimit_ = [](const HttpRequest &) { return 1000; };
+  }
+  ~HttpServerFixture() { Threads_.stop(); }
+
+  RawConnection connect() {
+    if (!Server_) {
+      Server_.emplace(Threads_.Io_, Options_);
+      REQUIRE(Server_->listen({Loopback, 0}));
+    }
+    return RawConnection(Server_->port());
+  }
+
+  HttpServerOptions Options_;
+  std::atomic<int> Requests_ = 0;
+  Waiter<std::shared_ptr<HttpExchange>> Held_;
+  IoThreads Threads_;
+  std::optional<HttpServer> Server_;
+};
+
+struct RefusedCase {
+  std::string Name_;
+  std::string Text_;
+  unsigned Status_ = 400;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "http server answers pipelined requests in order") {
+  RawConnection Client = connect();
+  Client.send("GET /a HTTP/1.1\r\nHost: desk:80\r\n\r\n"
+              "POST /b HTTP/1.1\r\nHost: Desk\r\nContent-Length: 2\r\n\r\nhi"
+              "POST /c HTTP/1.1\r\nHost: desk\r\nTransfer-Encoding: chunked"
+              "\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nHost: other\r\n\r\n");
+  CHECK(bodyOf(Client.receiveHttp()) == "/a|desk|");
+  CHECK(bodyOf(Client.receiveHttp()) == "/b|desk|hi");
+  CHECK(bodyOf(Client.receiveHttp()) == "/c|desk|abcde");
+}
+
+// Each row is read in different ways by different HTTP implementations, so
+// that a request could be hidden in the body of another one.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "http server refuses ambiguous and malformed requests") {
+  const std::string Post = "POST / HTTP/1.1\r\nHost: desk\r\n";
+  const std::vector<RefusedCase> Cases{
+      {"different lengths",
+       Post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"},
+      {"equal lengths",
+       Post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"},
+      {"list of lengths", Post + "Content-Length: 3, 4\r\n\r\nabcd"},
+      {"signed length", Post + "Content-Length: +3\r\n\r\nabc"},
+      {"length and coding",
+       Post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+              "\r\n"},
+      {"coding and length",
+       Post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n"
+              "\r\n"},
+      {"unknown coding", Post + "Transfer-Encoding: gzip\r\n\r\n"},
+      {"coding twice", Post + "Transfer-Encoding: chunked\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+      {"coding behind another",
+       Post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
+      {"coding in HTTP/1.0", "POST / HTTP/1.0\r\nHost: desk\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+      {"folded line", Post + "X-A: b\r\n Content-Length: 3\r\n\r\n"},
+      {"folded line with tab", Post + "X-A: b\r\n\tc\r\n\r\n"},
+      {"space before the colon", Post + "Content-Length : 3\r\n\r\nabc"},
+      {"bare line feed", Post + "X-A: b\nX-C: d\r\n\r\n"},
+      {"bare line feed at the end", "GET / HTTP/1.1\nHost: desk\n\n"},
+      {"bare carriage return", Post + "X-A: b\rX-C: d\r\n\r\n"},
+      {"null byte", Post + std::string("X-A: b\0c\r\n\r\n", 12)},
+      {"control character in the name", Post + "X\x01: b\r\n\r\n"},
+      {"line without a colon", Post + "nothing\r\n\r\n"},
+      {"no host", "GET / HTTP/1.1\r\n\r\n"},
+      {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
+      {"host with a path", "GET / HTTP/1.1\r\nHost: a/b\r\n\r\n"},
+      {"space in the target", "GET /a b HTTP/1.1\r\nHost: desk\r\n\r\n"},
+      {"absolute target", "GET http://x/ HTTP/1.1\r\nHost: desk\r\n\r\n"},
+      {"connect", "CONNECT x:1 HTTP/1.1\r\nHost: desk\r\n\r\n"},
+      {"unknown version", "GET / HTTP/3.7\r\nHost: desk\r\n\r\n"},
+      {"bad chunk size",
+       Post + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"},
+      {"chunk size beyond 64 bits",
+       Post + "Transfer-Encoding: chunked\r\n\r\n10000000000000003\r\nabc\r\n"
+              "0\r\n\r\n"},
+      {"body beyond the limit", Post + "Content-Length: 1001\r\n\r\n", 413},
+      {"chunk beyond the limit",
+       Post + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n", 413},
+      {"header section beyond the limit",
+       Post + "X-A: " + std::string(HttpHeaderLimit, 'a') + "\r\n\r\n", 431},
+      {"header section without an end",
+       Post + "X-A: " + std::string(HttpHeaderLimit, 'a'), 431},
+  };
+  RawConnection Other = connect();
+  Other.send("GET /held HTTP/1.1\r\nHost: desk\r\n\r\n");
+  auto Exchange = Held_.take();
+  REQUIRE(Exchange);
+  for (const RefusedCase &Case : Cases) {
+    CAPTURE(Case.Name_);
+    RawConnection Client = connect();
+    Client.send(Case.Text_);
+    std::string Answer = Client.receiveAll();
+    CHECK(statusOf(Answer) == Case.Status_);
+    CHECK(fieldOf(Answer, "x-marigold-outcome") == "not-run");
+    CHECK(fieldOf(Answer, "connection") == "close");
+  }
+  // Only the held request was seen, and its connection is not harmed.
+  CHECK(Requests_ == 1);
+  HttpResponse Response;
+  Response.Body_ = "unharmed";
+  (*Exchange)->respond(std::move(Response));
+  CHECK(bodyOf(Other.receiveHttp()) == "unharmed");
+}
+
+// Guards against slow senders that hold connections or other clients.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "http server ends slow requests and serves others") {
+  Options_.HeaderTimeout_ = Options_.BodyTimeout_ =
+      std::chrono::milliseconds(50);
+  RawConnection SlowHead = connect();
+  SlowHead.send("GET / HT");
+  RawConnection SlowBody = connect();
+  SlowBody.send("POST / HTTP/1.1\r\nHost: desk\r\nContent-Length: 9\r\n\r\na");
+  RawConnection Client = connect();
+  Client.send("GET /a HTTP/1.1\r\nHost: desk\r\n\r\n");
+  CHECK(statusOf(Client.receiveHttp()) == 200);
+  CHECK(statusOf(SlowHead.receiveAll()) == 408);
+  CHECK(statusOf(SlowBody.receiveAll()) == 408);
+  CHECK(Requests_ == 1);
+}
+
+// Guards against a run of half a request.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "http server drops a request without its whole body") {
+  {
+    RawConnection Client = connect();
+    Client.send("POST / HTTP/1.1\r\nHost: desk\r\nContent-Length: 9\r\n\r\na");
+    Client.finishSending();
+    CHECK(Client.endsSilently());
+  }
+  RawConnection Client = connect();
+  Client.send("GET /a HTTP/1.1\r\nHost: desk\r\n\r\n");
+  CHECK(statusOf(Client.receiveHttp()) == 200);
+  CHECK(Requests_ == 1);
+}
+
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "http server reports a client that goes away") {
+  RawConnection Client = connect();
+  Client.send("GET /held HTTP/1.1\r\nHost: desk\r\n\r\n");
+  auto Exchange = Held_.take();
+  REQUIRE(Exchange);
+  Waiter<bool> Gone;
+  (*Exchange)->onDisconnect([&] { Gone.set(true); });
+  Client.close();
+  CHECK(Gone.take().has_value());
+  (*Exchange)->respond({});
+}
+
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "http server sends no body for HEAD and asks for a body") {
+  RawConnection Client = connect();
+  Client.send("HEAD /a HTTP/1.1\r\nHost: desk\r\n\r\n");
+  CHECK(fieldOf(Client.receiveHttp(), "x-method") == "HEAD");
+  Client.send("POST /b HTTP/1.1\r\nHost: desk\r\nContent-Length: 2\r\n"
+              "Expect: 100-continue\r\n\r\n");
+  CHECK(statusOf(Client.receiveHttp()) == 100);
+  Client.send("hi");
+  CHECK(bodyOf(Client.receiveHttp()) == "/b|desk|hi");
+}
+
+// Guards against response splitting by a value from a peer.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "http server leaves out fields with line ends") {
+  RawConnection Client = connect();
+  Client.send("GET /held HTTP/1.1\r\nHost: desk\r\n\r\n");
+  auto Exchange = Held_.take();
+  REQUIRE(Exchange);
+  HttpResponse Response;
+  Response.Headers_ = {{"x-a", "1\r\nx-b: 2"},
+                       {"x c", "3"},
+                       {"content-length", "99"},
+                       {"x-d", "4"}};
+  (*Exchange)->respond(std::move(Response));
+  std::string Answer = Client.receiveHttp();
+  CHECK(fieldOf(Answer, "x-a").empty());
+  CHECK(fieldOf(Answer, "x-b").empty());
+  CHECK(fieldOf(Answer, "content-length") == "0");
+  CHECK(fieldOf(Answer, "x-d") == "4");
+}
+
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "http server that drains answers what it has begun") {
+  RawConnection Busy = connect();
+  Busy.send("GET /held HTTP/1.1\r\nHost: desk\r\n\r\n");
+  auto Exchange = Held_.take();
+  REQUIRE(Exchange);
+  RawConnection Idle = connect();
+  Server_->drain();
+  CHECK(Idle.endsSilently());
+  (*Exchange)->respond({});
+  std::string Answer = Busy.receiveAll();
+  CHECK(statusOf(Answer) == 200);
+  CHECK(fieldOf(Answer, "connection") == "close");
+}
+
+} // namespace marigold::transport
--- /dev/null
+++ b/unittests/Transport/PeerConnectionTest.cpp
@@ -0,0 +1,322 @@
+#include "PeerFixture.h"
+
+namespace marigold::transport {
+
+namespace {
+
+const PeerReply *replyOf(const std::optional<StreamResult> &Value) {
+  return Value ? std::get_if<PeerReply>(&*Value) : nullptr;
+}
+
+const StreamLost *lostOf(const std::optional<StreamResult> &Value) {
+  return Value ? std::get_if<StreamLost>(&*Value) : nullptr;
+}
+
+CallStart startWithBody(std::uint32_t Stream, std::uint64_t Size) {
+  CallStart Start;
+  Start.Stream_ = Stream;
+  Start.BodySize_ = Size;
+  return Start;
+}
+
+} // namespace
+
+// Guards against an answer that reaches another caller's request.
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer connection with crossed replies gives each caller its "
+                  "own") {
+  std::vector<CallStart> Held;
+  Served_.OnCall_ = [&](const PeerConnectionPtr &Connection,
+                        const CallStart &Start, const std::string &) {
+    Held.push_back(Start);
+    if (Held.size() < 3)
+      return;
+    for (auto Position = Held.rbegin(); Position != Held.rend(); ++Position)
+      Connection->reply(Position->Stream_, {}, Position->Path_, {});
+  };
+  auto Connection = connect();
+  std::array<Waiter<StreamResult>, 3> Got;
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    CallStart Start;
+    Start.Path_ = "/" + std::to_string(Index);
+    Connection->call(Start, nullptr, into(Got[Index]));
+  }
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    auto Value = Got[Index].take();
+    REQUIRE(replyOf(Value));
+    CHECK(replyOf(Value)->Body_ == "/" + std::to_string(Index));
+  }
+}
+
+// Guards against lost or repeated chunks when credit runs out and returns.
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer connection returns a body beyond the window intact") {
+  auto Connection = connect();
+  std::string Text(3'000'001, '\0');
+  for (std::size_t Index = 0; Index < Text.size(); ++Index)
+    Text[Index] = static_cast<char>(Index * 31 + Index / 251);
+  Waiter<StreamResult> Got;
+  Connection->call({}, std::make_shared<const std::string>(Text), into(Got));
+  auto Value = Got.take();
+  REQUIRE(replyOf(Value));
+  CHECK(replyOf(Value)->Body_ == Text);
+}
+
+// Guards against head-of-line blocking by a stream whose reader has stopped.
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer connection with a stalled stream completes others") {
+  RawListener Listener;
+  startPool();
+  Waiter<Result<PeerConnectionPtr>> Opened;
+  Pool_->get({Loopback, Listener.port()},
+             [&](Result<PeerConnectionPtr> Value) { Opened.set(Value); });
+  RawPeer Peer = acceptRaw(Listener);
+  auto Connection = Opened.take();
+  REQUIRE(Connection);
+  Waiter<StreamResult> Large;
+  Waiter<StreamResult> Small;
+  auto First =
+      (*Connection).value()->call({}, body(1'000'000, 'x'), into(Large));
+  auto Second = (*Connection).value()->call({}, body(10, 'y'), into(Small));
+  std::size_t Received = 0;
+  bool SmallEnded = false;
+  // No WindowUpdate is sent, so that the large body must stop at its credit.
+  while (!SmallEnded || Received < PeerLimits().Window_) {
+    std::string Frame = Peer.next();
+    REQUIRE(!Frame.empty());
+    std::string_view Content = std::string_view(Frame).substr(1);
+    auto Type = static_cast<MessageType>(Frame[0]);
+    if (Type == MessageType::CallData) {
+      auto Data = decodeBody<CallData>(Content).value();
+      CHECK(Data.Data_.size() <= PeerLimits().Chunk_);
+      Received += Data.Stream_ == First ? Data.Data_.size() : 0;
+    } else if (Type == MessageType::CallEnd) {
+      SmallEnded = decodeBody<CallEnd>(Content).value().Stream_ == Second;
+    }
+  }
+  CHECK(Received == PeerLimits().Window_);
+  ReplyStart Reply;
+  Reply.Stream_ = Second;
+  Peer.send(Reply);
+  Peer.send(ReplyEnd{Second, {}, {}});
+  CHECK(replyOf(Small.take()));
+}
+
+// Guards against not-run for a request that may have run, and against unknown
+// for one of which nothing was sent.
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer connection lost after the first byte reports it") {
+  Served_.OnCall_ = [](const PeerConnectionPtr &Connection, const CallStart &,
+                       const std::string &) {
+    Connection->close(fail(ErrorCode::ConnectionFailed));
+  };
+  auto Connection = connect();
+  Waiter<StreamResult> Got;
+  Connection->call({}, nullptr, into(Got));
+  auto Value = Got.take();
+  REQUIRE(lostOf(Value));
+  CHECK(lostOf(Value)->Written_);
+  Connection->call({}, nullptr, into(Got));
+  Value = Got.take();
+  REQUIRE(lostOf(Value));
+  CHECK_FALSE(lostOf(Value)->Written_);
+}
+
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer connection passes on a refusal and a cancellation") {
+  Served_.OnStart_ = [](const CallStart &Start) -> std::optional<CallRefused> {
+    if (Start.Path_ == "/held")
+      return std::nullopt;
+    return CallRefused{0, static_cast<std::uint16_t>(ErrorCode::Draining), {}};
+  };
+  Served_.OnCall_ = [](const PeerConnectionPtr &, const CallStart &,
+                       const std::string &) {};
+  auto Connection = connect();
+  Waiter<StreamResult> Got;
+  // The body is under way while the refusal arrives.
+  Connection->call({}, body(2'000'000, 'x'), into(Got));
+  auto Value = Got.take();
+  REQUIRE(Value);
+  auto *Refusal = std::get_if<CallRefused>(&*Value);
+  REQUIRE(Refusal);
+  CHECK(Refusal->Code_ == static_cast<std::uint16_t>(ErrorCode::Draining));
+  CallStart Start;
+  Start.Path_ = "/held";
+  auto Stream = Connection->call(Start, nullptr, into(Got));
+  CHECK(eventually([&] { return Served_.Calls_ == 1; }));
+  Connection->cancel(Stream);
+  CHECK(eventually([&] { return Served_.Cancels_ == 1; }));
+  CHECK(Connection->isOpen());
+}
+
+// Guards against a run of half a request (G5).
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer connection that ends within a body delivers no call") {
+  {
+    RawPeer Peer = rawClient();
+    Peer.expect<Hello>();
+    Peer.send(startWithBody(1, 10));
+    Peer.send(CallData{1, "12345"});
+    CHECK(eventually([&] { return Served_.Opened_ == 1; }));
+  }
+  CHECK(eventually([&] { return Served_.Closed_ == 1; }));
+  CHECK(Served_.Calls_ == 0);
+  CHECK(Served_.Cancels_ == 0);
+}
+
+// Each row is a sequence that a correct peer never sends; accepting it could
+// mix up streams or grow memory without bound.
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer connection with a malformed frame is closed") {
+  using Send = std::function<void(RawPeer &)>;
+  const std::vector<std::pair<std::string, Send>> Cases{
+      {"empty frame",
+       [](RawPeer &Peer) { Peer.Socket_.send(std::string(4, '\0')); }},
+      {"unknown type",
+       [](RawPeer &Peer) {
+         Peer.Socket_.send(makeFrame(static_cast<MessageType>(99), ""));
+       }},
+      {"type of a datagram", [](RawPeer &Peer) { Peer.send(Ping{}); }},
+      {"length beyond the limit",
+       [](RawPeer &Peer) {
+         Peer.Socket_.send(std::string("\x00\x10\x00\x00\x14", 5));
+       }},
+      {"body cut short",
+       [](RawPeer &Peer) {
+         Peer.Socket_.send(makeFrame(MessageType::CallStart, "\x01"));
+       }},
+      {"second Hello",
+       [](RawPeer &Peer) {
+         Peer.send(Hello{PeerProtocolVersion, 77, {}});
+       }},
+      {"stream number of the other side",
+       [](RawPeer &Peer) { Peer.send(startWithBody(2, 0)); }},
+      {"stream used twice",
+       [](RawPeer &Peer) {
+         Peer.send(startWithBody(3, 0));
+         Peer.send(startWithBody(3, 0));
+       }},
+      {"stream number going back",
+       [](RawPeer &Peer) {
+         Peer.send(startWithBody(5, 0));
+         Peer.send(startWithBody(3, 0));
+       }},
+      {"data of an unknown stream",
+       [](RawPeer &Peer) {
+         Peer.send(CallData{1, "x"});
+       }},
+      {"data beyond the body size",
+       [](RawPeer &Peer) {
+         Peer.send(startWithBody(1, 1));
+         Peer.send(CallData{1, "xy"});
+       }},
+      {"empty data",
+       [](RawPeer &Peer) {
+         Peer.send(startWithBody(1, 1));
+         Peer.send(CallData{1, ""});
+       }},
+      {"end of an incomplete body",
+       [](RawPeer &Peer) {
+         Peer.send(startWithBody(1, 2));
+         Peer.send(CallData{1, "x"});
+         Peer.send(CallEnd{1});
+       }},
+      {"reply to nothing",
+       [](RawPeer &Peer) {
+         Peer.send(ReplyEnd{2, {}, {}});
+       }},
+      {"refusal with an unknown code",
+       [](RawPeer &Peer) {
+         Peer.send(CallRefused{2, 9999, {}});
+       }},
+      {"credit of zero",
+       [](RawPeer &Peer) {
+         Peer.send(WindowUpdate{1, 0});
+       }},
+  };
+  std::int64_t Before = 0;
+  for (const auto &[Name, Act] : Cases) {
+    CAPTURE(Name);
+    RawPeer Peer = rawClient();
+    Peer.expect<Hello>();
+    Act(Peer);
+    CHECK(Peer.ends());
+    ++Before;
+    CHECK(Metrics_.total(Metric::MessagesMalformedTotal) == Before);
+  }
+  // Nothing else has changed: another connection works.
+  auto Connection = connect();
+  Waiter<StreamResult> Got;
+  Served_.Calls_ = 0;
+  Connection->call({}, body(5, 'x'), into(Got));
+  CHECK(replyOf(Got.take()));
+}
+
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer connection of another mesh or protocol is refused") {
+  CHECK(rawClient(78).ends());
+  CHECK(rawClient(77, PeerProtocolVersion + 1).ends());
+  CHECK(Served_.Opened_ == 0);
+  PoolOptions_.Mesh_ = 78;
+  startPool();
+  auto Value = get({Loopback, Server_->port()});
+  CHECK_FALSE(Value);
+}
+
+// Guards against memory growth when a peer stops reading.
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer connection with a full control queue is closed") {
+  ServerOptions_.Limits_.ControlQueue_ = 100'000;
+  RawPeer Peer = rawClient();
+  Peer.expect<Hello>();
+  CHECK(eventually([&] { return Served_.Opened_ == 1; }));
+  HostStateNotice Notice;
+  Notice.Record_.Region_.assign(30'000, 'r');
+  CHECK(eventually([&] {
+    Server_->broadcast(Notice);
+    return Served_.Closed_ == 1;
+  }));
+}
+
+TEST_CASE_FIXTURE(PeerFixture, "peer server broadcasts to connected nodes") {
+  auto Connection = connect();
+  CHECK(eventually([&] { return Server_->connections() == 1; }));
+  HostStateNotice Notice;
+  Notice.Record_.Service_ = "desk";
+  CHECK(Server_->broadcast(Notice) > 0);
+  auto Received = Local_.Notice_.take();
+  REQUIRE(Received);
+  CHECK(*Received == Notice);
+}
+
+TEST_CASE_FIXTURE(PeerFixture, "peer pool opens one connection for a peer") {
+  auto First = connect();
+  CHECK(connect() == First);
+  CHECK(Pool_->find({Loopback, Server_->port()}) == First);
+  Pool_->drop({Loopback, Server_->port()});
+  CHECK(eventually([&] { return !First->isOpen(); }));
+  CHECK(connect() != First);
+}
+
+// Guards against a storm of connection attempts to a host that is down.
+TEST_CASE_FIXTURE(PeerFixture, "peer pool waits after a failed attempt") {
+  PoolLimits_.BackoffFirst_ = std::chrono::hours(1);
+  startPool();
+  std::uint16_t Port = RawListener().port();
+  CHECK_FALSE(get({Loopback, Port}));
+  bool Direct = false;
+  Pool_->get({Loopback, Port},
+             [&](Result<PeerConnectionPtr> Value) { Direct = !Value; });
+  CHECK(Direct);
+}
+
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer pool beyond its limit gives up an unused connection") {
+  PoolLimits_.Peers_ = 1;
+  auto First = connect();
+  std::uint16_t Port = RawListener().port();
+  CHECK_FALSE(get({Loopback, Port}));
+  CHECK(eventually([&] { return !First->isOpen(); }));
+}
+
+} // namespace marigold::transport
