Satisfy clang-tidy in routing and key table

Ordering HostId through its defaulted <=> makes clang-tidy report the generated header, so the two places compare or hash the fields instead.

--- a/src/Calls/KeyTable.h
+++ b/src/Calls/KeyTable.h
@@ -35,7 +35,7 @@
   /// request in which the record is kept (setting key-lifetime).
   Duration Lifetime_ = std::chrono::minutes(15);
   /// Bytes of stored answers (setting key-memory).
-  std::size_t AnswerBytes_ = 4 * 1024 * 1024;
+  std::size_t AnswerBytes_ = std::size_t{4} * 1024 * 1024;
   /// Records. One takes about 250 bytes, so that a full table takes 8 MB of a
   /// node's 32 MB.
   std::size_t Records_ = 32768;
--- a/src/Routing/ChoiceStrategy.cpp
+++ b/src/Routing/ChoiceStrategy.cpp
@@ -115,7 +115,7 @@
       if (Best->Utilization_ < SpillUtilization)
         break;
     }
-    return Best->Index_;
+    return Best ? Best->Index_ : 0;
   }
 
 private:
--- a/src/Routing/HostLoad.cpp
+++ b/src/Routing/HostLoad.cpp
@@ -17,7 +17,7 @@
 double freshness(TimePoint Since, TimePoint Now) {
   double Age =
       std::chrono::duration<double>(std::max(Now - Since, Duration::zero())) /
-      std::chrono::duration<double>(HostLoad::MemoryTime);
+      std::chrono::duration<double>(HostLoad::MemoryTime_);
   return std::exp(-Age);
 }
 
--- a/src/Routing/Pool.cpp
+++ b/src/Routing/Pool.cpp
@@ -84,11 +84,11 @@
       if (Filled_)
         Fresh.FreshSince_ = Now;
     } else {
-      Fresh = std::move(Entries_[Known->second]);
+      Fresh = Entries_[Known->second];
       merge(Records_[Known->second], Host, Fresh, Now);
     }
     Fresh.Locality_ = localityOf(Settings_.Own_, Host);
-    Entries.push_back(std::move(Fresh));
+    Entries.push_back(Fresh);
     Records.push_back(std::move(Host));
   }
   Records_ = std::move(Records);
--- a/src/Routing/Subset.cpp
+++ b/src/Routing/Subset.cpp
@@ -61,8 +61,10 @@
   }
   std::sort(Ranking.begin(), Ranking.end(),
             [&](const Ranked &Left, const Ranked &Right) {
-              return std::tie(Right.Score_, Hosts[Left.Index_].Id_) <
-                     std::tie(Left.Score_, Hosts[Right.Index_].Id_);
+              const HostId &LeftId = Hosts[Left.Index_].Id_;
+              const HostId &RightId = Hosts[Right.Index_].Id_;
+              return std::tie(Right.Score_, LeftId.Ipv4_, LeftId.Port_) <
+                     std::tie(Left.Score_, RightId.Ipv4_, RightId.Port_);
             });
   std::size_t Reserve = std::min(
       ReadyElsewhere, Size < 2 ? 0 : std::max<std::size_t>(Size / 4, 1));
--- a/unittests/Routing/PoolTest.cpp
+++ b/unittests/Routing/PoolTest.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
+#include <unordered_map>
 
 namespace marigold::routing {
 namespace {
@@ -267,7 +267,7 @@
         Excluded.push_back(Records[Rng.below(Records.size())].Id_);
       bool Usable = false;
       bool Possible = false;
-      std::map<HostId, HostView> Views;
+      std::unordered_map<HostId, HostView, HostIdHash> Views;
       for (const HostView &View : Hosts.view(Now)) {
         Views[View.Id_] = View;
         if (std::find(Excluded.begin(), Excluded.end(), View.Id_) !=
