--- /dev/null
+++ b/src/Admission/AdaptiveLimit.cpp
@@ -0,0 +1,108 @@
+#include "Admission/AdaptiveLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigold::admission {
+namespace {
+
+/// Largest fall of the limit in one window.
+constexpr double LowestGradient = 0.5;
+
+/// Divisor of the limit while the baseline is measured.
+constexpr double ProbeDivisor = 4;
+
+/// Factor on the limit after a window with failures.
+constexpr double FailureFactor = 0.9;
+
+/// Share of failed runs in a window above which the limit falls.
+constexpr double FailureRatio = 0.05;
+
+} // namespace
+
+AdaptiveLimit::AdaptiveLimit(std::uint32_t Slots,
+                             AdaptiveLimitSettings Settings)
+    : Settings_(Settings), Slots_(std::max(Slots, 1U)), Limit_(Slots_) {}
+
+void AdaptiveLimit::onSample(Duration Latency, bool Failed,
+                             std::uint32_t Running, TimePoint Now) {
+  if (Latency < Duration::zero())
+    return;
+  if (Samples_ == 0)
+    WindowStart_ = Now;
+  ++Samples_;
+  Sum_ += Latency;
+  Failures_ += Failed ? 1 : 0;
+  if (Running >= limit())
+    ++LimitedSamples_;
+  if (Samples_ >= Settings_.WindowSamples_ &&
+      Now - WindowStart_ >= Settings_.WindowTime_)
+    closeWindow();
+}
+
+void AdaptiveLimit::setSlots(std::uint32_t Slots) {
+  Slots_ = std::max(Slots, 1U);
+  Limit_ = std::min(Limit_, static_cast<double>(Slots_));
+}
+
+void AdaptiveLimit::reset() {
+  Limit_ = Slots_;
+  Baseline_ = Duration::zero();
+  Windows_ = 0;
+  ProbeLeft_ = 0;
+  clearWindow();
+}
+
+std::uint32_t AdaptiveLimit::limit() const {
+  double Allowed = ProbeLeft_ > 0 ? Limit_ / ProbeDivisor : Limit_;
+  return std::clamp(static_cast<std::uint32_t>(Allowed), 1U, Slots_);
+}
+
+void AdaptiveLimit::closeWindow() {
+  Duration Mean = Sum_ / Samples_;
+  bool Limited = LimitedSamples_ * 2 >= Samples_;
+  bool Failing = Failures_ > FailureRatio * Samples_;
+  clearWindow();
+  if (ProbeLeft_ > 0) {
+    // Runs that began before the measurement end in its first window.
+    if (--ProbeLeft_ == 0 && !Failing)
+      Baseline_ = Mean;
+    return;
+  }
+  // A window of failures measures the deadline, not the target.
+  if (!Failing)
+    Baseline_ =
+        Baseline_ == Duration::zero() ? Mean : std::min(Baseline_, Mean);
+  if (!Limited)
+    return;
+  double Gradient = 1;
+  if (Mean > Duration::zero() && Baseline_ > Duration::zero())
+    Gradient = std::clamp(Settings_.Tolerance_ *
+                              static_cast<double>(Baseline_.count()) /
+                              static_cast<double>(Mean.count()),
+                          LowestGradient, 1.0);
+  double Next = Failing ? Limit_ * std::min(Gradient, FailureFactor)
+                        : Limit_ * Gradient + std::sqrt(Limit_);
+  Limit_ = std::clamp(Next, 1.0, static_cast<double>(Slots_));
+  scheduleProbe();
+}
+
+void AdaptiveLimit::scheduleProbe() {
+  if (limit() == Slots_) {
+    Windows_ = 0;
+    return;
+  }
+  if (++Windows_ < Settings_.ProbeWindows_)
+    return;
+  Windows_ = 0;
+  ProbeLeft_ = 2;
+}
+
+void AdaptiveLimit::clearWindow() {
+  Sum_ = Duration::zero();
+  Samples_ = 0;
+  Failures_ = 0;
+  LimitedSamples_ = 0;
+}
+
+} // namespace marigold::admission
--- /dev/null
+++ b/src/Routing/ChoiceStrategy.cpp
@@ -0,0 +1,144 @@
+#include "Routing/ChoiceStrategy.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <vector>
+
+namespace marigold::routing {
+namespace {
+
+/// Utilization from which two-choices-local also considers the next locality:
+/// no slot is free. With 0.8 instead, 58 % of the calls stayed in the own
+/// failure domain at a load of 0.7, with 1.0 it is 70 %, and p99 differs by at
+/// most 3 % (marigold-bench choice).
+constexpr double SpillUtilization = 1.0;
+
+/// Draws until a host in slow start is passed over for the last time.
+constexpr int MaxDraws = 4;
+
+/// Largest weight; the others count relative to it, so that hosts that all
+/// started together share the calls evenly.
+double heaviest(std::span<const Candidate> Candidates) {
+  double Largest = 0;
+  for (const Candidate &Host : Candidates)
+    Largest = std::max(Largest, Host.Weight_);
+  return Largest;
+}
+
+/// Whether a drawn host takes the call in spite of its slow start.
+bool accepts(const Candidate &Host, double Heaviest, Random &Rng) {
+  return Host.Weight_ >= Heaviest || Rng.chance(Host.Weight_ / Heaviest);
+}
+
+/// A random position at which each host's probability grows with its weight.
+std::size_t draw(std::span<const Candidate> Candidates, double Heaviest,
+                 Random &Rng) {
+  std::size_t Position = 0;
+  for (int Draw = 0; Draw < MaxDraws; ++Draw) {
+    Position = Rng.below(Candidates.size());
+    if (accepts(Candidates[Position], Heaviest, Rng))
+      break;
+  }
+  return Position;
+}
+
+/// The cheaper of two random hosts. The weight is in the draws alone: in the
+/// cost as well it would keep a fresh host from every call while the others
+/// are idle.
+std::size_t drawCheaper(std::span<const Candidate> Candidates, Random &Rng) {
+  double Heaviest = heaviest(Candidates);
+  std::size_t First = draw(Candidates, Heaviest, Rng);
+  if (Candidates.size() == 1)
+    return First;
+  std::size_t Second =
+      (First + 1 + Rng.below(Candidates.size() - 1)) % Candidates.size();
+  bool Cheaper = Candidates[Second].Cost_ < Candidates[First].Cost_;
+  return Cheaper && accepts(Candidates[Second], Heaviest, Rng) ? Second : First;
+}
+
+class RandomChoice : public ChoiceStrategy {
+public:
+  std::size_t pick(std::span<const Candidate> Candidates,
+                   Random &Rng) override {
+    return draw(Candidates, heaviest(Candidates), Rng);
+  }
+};
+
+class RoundRobin : public ChoiceStrategy {
+public:
+  std::size_t pick(std::span<const Candidate> Candidates,
+                   Random &Rng) override {
+    // Nodes that start together must not walk through the hosts in step.
+    if (Next_ == 0)
+      Next_ = 1 + Rng.below(Candidates.size());
+    double Heaviest = heaviest(Candidates);
+    for (std::size_t Step = 0; Step < Candidates.size(); ++Step) {
+      std::size_t Position = Next_++ % Candidates.size();
+      if (accepts(Candidates[Position], Heaviest, Rng))
+        return Position;
+    }
+    return Next_++ % Candidates.size();
+  }
+
+private:
+  std::uint64_t Next_ = 0;
+};
+
+class TwoChoices : public ChoiceStrategy {
+public:
+  std::size_t pick(std::span<const Candidate> Candidates,
+                   Random &Rng) override {
+    return drawCheaper(Candidates, Rng);
+  }
+};
+
+class TwoChoicesLocal : public ChoiceStrategy {
+public:
+  std::size_t pick(std::span<const Candidate> Candidates,
+                   Random &Rng) override {
+    for (auto &Group : Groups_)
+      Group.clear();
+    for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+      auto Place = static_cast<std::size_t>(Candidates[Index].Locality_);
+      Groups_[Place].push_back(Candidates[Index]);
+      Groups_[Place].back().Index_ = Index;
+    }
+    const Candidate *Best = nullptr;
+    for (const auto &Group : Groups_) {
+      if (Group.empty())
+        continue;
+      const Candidate &Pick = Group[drawCheaper(Group, Rng)];
+      // A nearer host wins a tie of two full ones.
+      if (!Best || Pick.Cost_ < Best->Cost_)
+        Best = &Pick;
+      if (Best->Utilization_ < SpillUtilization)
+        break;
+    }
+    return Best ? Best->Index_ : 0;
+  }
+
+private:
+  /// Kept between calls, so that a pick does not allocate.
+  std::array<std::vector<Candidate>, LocalityCount> Groups_;
+};
+
+} // namespace
+
+Result<std::unique_ptr<ChoiceStrategy>> makeStrategy(std::string_view Name) {
+  std::unique_ptr<ChoiceStrategy> Strategy;
+  if (Name == "random")
+    Strategy = std::make_unique<RandomChoice>();
+  else if (Name == "round-robin")
+    Strategy = std::make_unique<RoundRobin>();
+  else if (Name == "two-choices")
+    Strategy = std::make_unique<TwoChoices>();
+  else if (Name == "two-choices-local")
+    Strategy = std::make_unique<TwoChoicesLocal>();
+  else
+    return fail(ErrorCode::SettingInvalid,
+                "unknown strategy " + std::string(Name));
+  return Strategy;
+}
+
+} // namespace marigold::routing
