--- a/src/Config/Limits.h
+++ b/src/Config/Limits.h
@@ -6,8 +6,8 @@
 
 namespace marigold::config {
 
-/// Largest text, the limit of a value at the configuration source.
-inline constexpr std::size_t MaxTextBytes = 1024 * 1024;
+/// Largest text (1 MiB), the limit of a value at the configuration source.
+inline constexpr std::size_t MaxTextBytes = 1'048'576;
 /// Deepest nesting of mappings and lists; a valid text needs six levels.
 inline constexpr unsigned MaxNesting = 16;
 /// Most YAML nodes (scalars, lists, mappings) of one text, which bounds the
@@ -51,7 +51,7 @@
 inline constexpr std::uint32_t MaxQueue = 100'000;
 inline constexpr std::uint32_t MaxConnections = 100'000;
 
-/// Largest limit of a request body in bytes.
-inline constexpr std::uint64_t MaxBodyLimit = 16 * 1024 * 1024;
+/// Largest limit of a request body in bytes (16 MiB).
+inline constexpr std::uint64_t MaxBodyLimit = 16'777'216;
 
 } // namespace marigold::config
--- a/src/Config/Quantity.cpp
+++ b/src/Config/Quantity.cpp
@@ -31,7 +31,7 @@
       {{{"us", 1}, {"ms", 1000}, {"s", 1'000'000}},
        "a whole number with unit us, ms or s, such as 250ms"},
       {{{"%", 10'000}}, "a percentage with up to four decimals, such as 99.9%"},
-      {{{"B", 1}, {"KiB", 1024}, {"MiB", 1024 * 1024}},
+      {{{"B", 1}, {"KiB", 1024}, {"MiB", 1'048'576}},
        "a whole number with unit B, KiB or MiB, such as 64KiB"},
   };
   return Dimensions[static_cast<std::size_t>(Kind)];
--- a/src/Config/ServiceModel.cpp
+++ b/src/Config/ServiceModel.cpp
@@ -18,7 +18,7 @@
   Route.Repeatable_ = false;
   Route.Deadline_ = std::chrono::seconds(5);
   Route.Priority_ = Priority::Normal;
-  Route.MaxBody_ = 1024 * 1024;
+  Route.MaxBody_ = 1'048'576;
   return Route;
 }
 
--- a/src/Config/TextParser.cpp
+++ b/src/Config/TextParser.cpp
@@ -311,8 +311,7 @@
     return std::tuple(Error.Line_, Error.Column_);
   });
   // The parser names an anchor both at a mapping and at its first key.
-  auto Repeated = std::ranges::unique(Errors);
-  Errors.erase(Repeated.begin(), Repeated.end());
+  Errors.erase(std::unique(Errors.begin(), Errors.end()), Errors.end());
   if (Errors.size() <= MaxDiagnostics)
     return;
   Errors.resize(MaxDiagnostics);
--- a/src/Ctl/StatusClient.h
+++ b/src/Ctl/StatusClient.h
@@ -21,9 +21,9 @@
   std::size_t Parallel_ = 64;
   /// Longest time of one query.
   Duration Timeout_ = std::chrono::seconds(2);
-  /// Largest answer in bytes; the list of 3,000 hosts takes about 200 bytes
-  /// each.
-  std::size_t MaxBody_ = 8 * 1024 * 1024;
+  /// Largest answer in bytes (8 MiB); the list of 3,000 hosts takes about 200
+  /// bytes each.
+  std::size_t MaxBody_ = 8'388'608;
 };
 
 /// Asks each node for its status over HTTP and returns one reply a request,
--- a/unittests/Ctl/FleetViewTest.cpp
+++ b/unittests/Ctl/FleetViewTest.cpp
@@ -6,9 +6,9 @@
 namespace marigold::ctl {
 namespace {
 
-struct FleetViewFixture {
-  static constexpr std::uint32_t Loopback = 0x7F000001;
+constexpr std::uint32_t Loopback = 0x7F000001;
 
+struct FleetViewFixture {
   static Address admin(std::uint16_t Number) {
     return {Loopback, static_cast<std::uint16_t>(9000 + Number)};
   }
