--- a/unittests/Config/TextParserTest.cpp
+++ b/unittests/Config/TextParserTest.cpp
@@ -91,6 +91,25 @@
   }
 }
 
+// Guards against an operators' page whose example is refused or which leaves
+// out an error code.
+TEST_CASE_FIXTURE(ParserFixture, "operators' page is up to date") {
+  std::string Page = readFile("docs/configuration.md");
+  std::size_t Begin = Page.find("```yaml\n");
+  REQUIRE(Begin != std::string::npos);
+  Begin += std::string_view("```yaml\n").size();
+  auto Parsed =
+      parseText(Page.substr(Begin, Page.find("```", Begin) - Begin), "page");
+  if (!Parsed)
+    FAIL(toText(Parsed.error().front()));
+  for (std::uint16_t Number = 200; Number < 300; ++Number)
+    if (auto Code = errorFromNumber(Number)) {
+      CAPTURE(errorText(*Code));
+      CHECK(Page.find("| `" + std::string(errorText(*Code)) + "` |") !=
+            std::string::npos);
+    }
+}
+
 // Guards against defaults that change unnoticed; repeatable by default would
 // let bookings run twice.
 TEST_CASE_FIXTURE(ParserFixture, "service without keys has the defaults") {
