Test that a draining host is no last resort; drop a redundant guard

Trials with seeded faults in a scratch copy found both: no test failed when a host that refused with Draining was taken as the last one, and the guard in startQueued had no effect, since the queue is empty in that state.

--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -194,8 +194,6 @@
 }
 
 void AdmissionControl::startQueued(AdmissionActions &Actions, TimePoint Now) {
-  if (Draining_ || TargetDown_)
-    return;
   for (std::size_t Index = PriorityCount; Index-- > 0;) {
     auto &Queue = Queues_[Index];
     while (!Queue.empty() && running() < limit()) {
--- a/unittests/Routing/PoolTest.cpp
+++ b/unittests/Routing/PoolTest.cpp
@@ -117,6 +117,7 @@
   fill(4);
   end({2, 7400}, Code::Draining);
   CHECK(run(200).count(2) == 0);
+  CHECK_FALSE(choose({{0, 7400}, {1, 7400}, {3, 7400}}));
   Now_ += seconds(31);
   run(1);
   CHECK(run(200).count(2) == 1);
