--- a/src/Calls/KeyTable.h
+++ b/src/Calls/KeyTable.h
@@ -36,8 +36,8 @@
   Duration Lifetime_ = std::chrono::minutes(15);
   /// Bytes of stored answers (setting key-memory).
   std::size_t AnswerBytes_ = std::size_t{4} * 1024 * 1024;
-  /// Records. One takes about 250 bytes, so that a full table takes 8 MB of a
-  /// node's 32 MB.
+  /// Records. One takes about 200 bytes, so that a full table takes 6.5 MB of
+  /// a node's 32 MB, besides the stored answers.
   std::size_t Records_ = 32768;
 };
 
