--- a/src/Support/Metrics.cpp
+++ b/src/Support/Metrics.cpp
@@ -7,6 +7,10 @@
 
 namespace acc = boost::accumulators;
 
+/// The P-square algorithm has no estimate before each of its markers, two for
+/// each quantile and three more, has a sample; it would show 0.
+constexpr std::size_t MinimumSamples = 2 * SummaryQuantiles.size() + 3;
+
 std::string escapeLabel(const std::string &Value) {
   std::string Escaped;
   for (char Character : Value) {
@@ -118,7 +122,9 @@
       Out << Name << labelText(Info, Labels) << ' ' << Value.load() << '\n';
     for (const auto &[Labels, Values] : Owner.Summaries_) {
       auto Quantiles = acc::extended_p_square(Values);
-      for (std::size_t Q = 0; Q < SummaryQuantiles.size(); ++Q) {
+      std::size_t Shown =
+          acc::count(Values) < MinimumSamples ? 0 : SummaryQuantiles.size();
+      for (std::size_t Q = 0; Q < Shown; ++Q) {
         std::ostringstream Quantile;
         Quantile << "quantile=\"" << SummaryQuantiles[Q] << '"';
         Out << Name << labelText(Info, Labels, Quantile.str()) << ' '
