--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -32,6 +32,20 @@
   return "invalid";
 }
 
+/// Use of a received datagram by its type byte.
+ControlTraffic trafficOf(std::string_view Data) {
+  auto Type = static_cast<MessageType>(Data.empty() ? 0 : Data.front());
+  switch (Type) {
+  case MessageType::Advert:
+    return ControlTraffic::Advert;
+  case MessageType::HostStateNotice:
+  case MessageType::CrashNotice:
+    return ControlTraffic::Notice;
+  default:
+    return ControlTraffic::Probe;
+  }
+}
+
 } // namespace
 
 ControlPlane::ControlPlane(ControlPlaneParts Parts, const HostRecord &Own,
@@ -246,7 +260,7 @@
 }
 
 void ControlPlane::onDatagram(const Address &, std::string_view Data) {
-  countReceived(ControlTraffic::Probe, Data.size() + DatagramOverhead);
+  countReceived(trafficOf(Data), Data.size() + DatagramOverhead);
   Result<void> Outcome = success();
   decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
     Outcome = Core.onDatagram(Data, Now, Out);
