Check versions in sync replies and keep asking seeds

The digest does not cover the version, so a corrupt reply could install valid content under a higher number that nothing ever replaces: replies now carry a hash of both. A node that started alone, or whose peers all restarted, never found the others again: one missing seed is now asked every 10 s.

--- a/src/Distribution/VersionStore.cpp
+++ b/src/Distribution/VersionStore.cpp
@@ -1,10 +1,19 @@
 #include "Distribution/VersionStore.h"
 
 #include "Support/Addresses.h"
+#include "Support/Digest.h"
 
 #include <algorithm>
 
 namespace marigold::distribution {
+namespace {
+
+std::uint64_t checkOf(const ConfigVersion &Version, const Digest128 &Digest) {
+  return mixHash(mixHash(Version.Epoch_, Version.Revision_),
+                 mixHash(Digest.High_, Digest.Low_));
+}
+
+} // namespace
 
 Result<void> VersionStore::checkOrder(const ConfigVersion &Version,
                                       const Digest128 &Digest) {
@@ -52,9 +61,15 @@
   if (Reply.Kind_ == SyncKind::Unchanged)
     return fail(ErrorCode::VersionCurrent, "answered as unchanged");
   bool IsDelta = Reply.Kind_ == SyncKind::Delta;
-  BOOST_OUTCOME_TRY(
-      checkOrder(IsDelta ? Reply.Delta_.Version_ : Reply.Image_.Version_,
-                 IsDelta ? Reply.Delta_.Digest_ : Reply.Image_.Digest_));
+  const ConfigVersion &Version =
+      IsDelta ? Reply.Delta_.Version_ : Reply.Image_.Version_;
+  const Digest128 &Digest =
+      IsDelta ? Reply.Delta_.Digest_ : Reply.Image_.Digest_;
+  if (Reply.Check_ != checkOf(Version, Digest)) {
+    ++Counts_.Invalid_;
+    return fail(ErrorCode::DigestMismatch, "version or digest altered");
+  }
+  BOOST_OUTCOME_TRY(checkOrder(Version, Digest));
   if (IsDelta && !Current_) {
     ++Counts_.Invalid_;
     return fail(ErrorCode::DeltaBaseMismatch, "no version held");
@@ -116,6 +131,7 @@
     Reply.Kind_ = SyncKind::Delta;
     Reply.Delta_ = config::makeDelta(*Base, *Current_);
   }
+  Reply.Check_ = checkOf(version(), digest());
   return Reply;
 }
 
--- a/src/Membership/ProbeScheduler.cpp
+++ b/src/Membership/ProbeScheduler.cpp
@@ -18,12 +18,12 @@
 ProbeScheduler::ProbeScheduler(HostTable &Table, HostRecord Own,
                                ProbeOptions Options, SummaryProvider Summary,
                                Random Rng, TimePoint Now)
-    : Table_(Table), Own_(std::move(Own)), Options_(Options),
+    : Table_(Table), Own_(std::move(Own)), Options_(std::move(Options)),
       Summary_(std::move(Summary)), Rng_(std::move(Rng)),
-      Suspicions_({Options.SuspicionTimeout_, Options.Timeout_ / 2}),
+      Suspicions_({Options_.SuspicionTimeout_, Options_.Timeout_ / 2}),
       Updates_(Own_.Id_), LastTick_(Now),
-      NextProbe_(Now + Rng_.upTo(Options.Interval_)),
-      NextDeadProbe_(Now + Rng_.upTo(Options.DeadInterval_)),
+      NextProbe_(Now + Rng_.upTo(Options_.Interval_)),
+      NextDeadProbe_(Now + Rng_.upTo(Options_.DeadInterval_)),
       NextVerification_(Now), NextExpiry_(Now + ExpiryInterval) {
   Table_.apply(Own_, Now);
   Updates_.push({Own_, {}});
@@ -174,6 +174,7 @@
     return;
   NextDeadProbe_ =
       Now + Options_.DeadInterval_ / 2 + Rng_.upTo(Options_.DeadInterval_);
+  askSeed(Now, Out);
   if (Table_.countByState()[static_cast<std::size_t>(HostState::Dead)] == 0)
     return;
   std::vector<HostId> Dead;
@@ -185,6 +186,17 @@
   sendPing(Dead[Rng_.below(Dead.size())], Now, Out);
 }
 
+void ProbeScheduler::askSeed(TimePoint Now, Actions &Out) {
+  std::vector<HostId> Missing;
+  for (const HostId &Id : Options_.Seeds_) {
+    const HostEntry *Entry = Table_.find(Id);
+    if (Id != Own_.Id_ && (!Entry || isTombstone(Entry->Record_.State_)))
+      Missing.push_back(Id);
+  }
+  if (!Missing.empty())
+    sendPing(Missing[Rng_.below(Missing.size())], Now, Out);
+}
+
 void ProbeScheduler::verifyNext(TimePoint Now, Actions &Out) {
   if (Verifications_.empty() || Now < NextVerification_)
     return;
--- a/src/Membership/ProbeScheduler.h
+++ b/src/Membership/ProbeScheduler.h
@@ -34,6 +34,10 @@
   /// Time between two probes of a random dead host. At 3,000 nodes a dead
   /// host of a healed partition is found within a fraction of a second.
   Duration DeadInterval_ = std::chrono::seconds(10);
+  /// Hosts of the setting seeds. One that is not known to be alive is asked at
+  /// each DeadInterval_: parts of a mesh that started apart, or forgot each
+  /// other, have no records by which they could find each other.
+  std::vector<HostId> Seeds_;
   /// Most hosts per second that are asked whether a dead record that came in
   /// an exchange of tables is true. Bounds the traffic after a partition.
   std::size_t VerificationsPerSecond_ = 10;
@@ -132,6 +136,7 @@
   void failProbe(const Probe &Failed, TimePoint Now, Actions &Out);
   void endRelays(TimePoint Now, Actions &Out);
   void probeDead(TimePoint Now, Actions &Out);
+  void askSeed(TimePoint Now, Actions &Out);
   void verifyNext(TimePoint Now, Actions &Out);
   void runSuspicions(TimePoint Now, Actions &Out);
   void declareDead(const HostId &Subject, TimePoint Now, Actions &Out);
--- a/unittests/Distribution/VersionStoreTest.cpp
+++ b/unittests/Distribution/VersionStoreTest.cpp
@@ -119,6 +119,10 @@
   SyncReply Whole = Newer.answer({});
   Whole.Image_.Services_.pop_back();
   CHECK_FALSE(Store_.offerReply(Whole, Now_));
+  // The digest does not cover the version: found by marigold-fuzz.
+  SyncReply Renamed = Newer.answer({});
+  Renamed.Image_.Version_ = {1, 112};
+  CHECK(codeOf(Store_.offerReply(Renamed, Now_)) == ErrorCode::DigestMismatch);
   CHECK(Store_.version() == ConfigVersion{1, 1});
   CHECK(codeOf(VersionStore().offerReply(Delta, Now_)) ==
         ErrorCode::DeltaBaseMismatch);
--- a/unittests/Mesh/MeshNode.cpp
+++ b/unittests/Mesh/MeshNode.cpp
@@ -16,14 +16,20 @@
   return Options;
 }
 
+membership::ProbeOptions probeOptions(const std::vector<HostId> &Seeds) {
+  membership::ProbeOptions Options;
+  Options.Seeds_ = Seeds;
+  return Options;
+}
+
 } // namespace
 
 MeshNode::MeshNode(HostRecord Own, std::vector<HostId> Seeds,
                    distribution::SourceMode Mode, MeshNodeHooks Hooks,
                    std::uint64_t Seed, TimePoint Now)
     : Probes_(
-          Table_, Own, {}, [this](TimePoint At) { return summary(At); },
-          Random(Seed), Now),
+          Table_, Own, probeOptions(Seeds),
+          [this](TimePoint At) { return summary(At); }, Random(Seed), Now),
       Pause_(3s, 1s, Now),
       Source_(Table_, Store_, Confirmation_, Own.Id_, Own.FailureDomain_,
               readerOptions(Mode), Random(Seed + 1), Now),
