Accept refusals from peers only in rising order

Accepted refusals now only rise until a newer version is adopted, and the latest is dropped after 24 h.

--- a/src/Distribution/VersionStore.cpp
+++ b/src/Distribution/VersionStore.cpp
@@ -4,6 +4,7 @@
 #include "Support/Digest.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace marigold::distribution {
 namespace {
@@ -13,6 +14,11 @@
                  mixHash(Digest.High_, Digest.Low_));
 }
 
+auto rankOf(const Refusal &Refused) {
+  return std::tie(Refused.Version_.Revision_, Refused.Version_.Epoch_,
+                  Refused.Code_);
+}
+
 } // namespace
 
 Result<void> VersionStore::checkOrder(const ConfigVersion &Version,
@@ -137,17 +143,20 @@
 
 bool VersionStore::refuse(const Refusal &Refused, TimePoint Now) {
   Last_ = Refused;
+  LastAt_ = Now;
   return keep(Refused, Now);
 }
 
 bool VersionStore::mergeRefusal(const Refusal &Refused, TimePoint Now) {
+  if (Last_ && Now - LastAt_ > RefusalLifetime)
+    Last_.reset();
   bool Known =
       std::any_of(Refusals_.begin(), Refusals_.end(),
                   [&](const auto &Other) { return Other.first == Refused; });
-  if (Refused.Version_.Revision_ == 0 || Known || isSuperseded(Refused))
+  if (Refused.Version_.Revision_ == 0 || Known || isSuperseded(Refused) ||
+      (Last_ && rankOf(Refused) <= rankOf(*Last_)))
     return false;
-  Last_ = Refused;
-  return keep(Refused, Now);
+  return refuse(Refused, Now);
 }
 
 bool VersionStore::keep(const Refusal &Refused, TimePoint Now) {
--- a/src/Distribution/VersionStore.h
+++ b/src/Distribution/VersionStore.h
@@ -23,6 +23,10 @@
 /// reports.
 inline constexpr std::size_t RefusalsKept = 16;
 
+/// Time after which a refusal is no longer shown or passed on, so that a false
+/// one with a huge revision does not hide others forever.
+inline constexpr Duration RefusalLifetime = std::chrono::hours(24);
+
 /// One adopted version.
 struct AdoptedVersion {
   /// Version.
@@ -90,9 +94,10 @@
   bool refuse(const Refusal &Refused, TimePoint Now);
 
   /// Keeps a refusal that a peer reports. Returns whether it is news to be
-  /// passed on: it is not known yet, and no newer version
-  /// is in force. A refusal as VersionOlder is therefore shown only by the
-  /// nodes that read the source.
+  /// passed on: not known, of a higher revision than the latest one, and no
+  /// newer version in force. Since accepted refusals only rise, refusals that
+  /// cross each other in the mesh come to rest. A refusal as VersionOlder is
+  /// therefore shown only by the nodes that read the source.
   bool mergeRefusal(const Refusal &Refused, TimePoint Now);
 
   /// The latest refusal, of this node or reported by a peer; nothing when
@@ -123,6 +128,7 @@
   // Refusals and when they were learned, oldest first.
   std::deque<std::pair<Refusal, TimePoint>> Refusals_;
   std::optional<Refusal> Last_;
+  TimePoint LastAt_;
   OfferCounts Counts_;
 };
 
--- a/unittests/Distribution/VersionStoreTest.cpp
+++ b/unittests/Distribution/VersionStoreTest.cpp
@@ -148,6 +148,22 @@
   CHECK_FALSE(Store_.lastRefusal());
   CHECK_FALSE(Store_.mergeRefusal({{1, 4}, 205}, Now_));
   CHECK(Store_.mergeRefusal({{2, 3}, 205}, Now_));
+  CHECK_FALSE(Store_.mergeRefusal({{2, 2}, 205}, Now_));
+}
+
+// Guards against a storm of adverts found by marigold-fuzz: with more refusals
+// in the mesh than a node remembers, each one was news again and again.
+TEST_CASE_FIXTURE(VersionStoreFixture, "refusals that cross come to rest") {
+  std::vector<VersionStore> Stores(5);
+  std::size_t News = 0;
+  for (std::uint64_t Round = 0; Round < 2000; ++Round) {
+    VersionStore &Store = Stores[Round % Stores.size()];
+    News += Store.mergeRefusal({{0, 1 + Round * 7 % 41}, 205}, Now_);
+  }
+  CHECK(News <= 41 * Stores.size());
+  for (const VersionStore &Store : Stores)
+    CHECK(Store.lastRefusal()->Version_.Revision_ == 41);
+  CHECK(Stores[0].mergeRefusal({{0, 2}, 209}, Now_ + 25h));
 }
 
 TEST_CASE_FIXTURE(VersionStoreFixture,
