--- a/src/Distribution/VersionStore.cpp
+++ b/src/Distribution/VersionStore.cpp
@@ -1,10 +1,25 @@
 #include "Distribution/VersionStore.h"
 
 #include "Support/Addresses.h"
+#include "Support/Digest.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace marigold::distribution {
+namespace {
+
+std::uint64_t checkOf(const ConfigVersion &Version, const Digest128 &Digest) {
+  return mixHash(mixHash(Version.Epoch_, Version.Revision_),
+                 mixHash(Digest.High_, Digest.Low_));
+}
+
+auto rankOf(const Refusal &Refused) {
+  return std::tie(Refused.Version_.Revision_, Refused.Version_.Epoch_,
+                  Refused.Code_);
+}
+
+} // namespace
 
 Result<void> VersionStore::checkOrder(const ConfigVersion &Version,
                                       const Digest128 &Digest) {
@@ -52,9 +67,15 @@
   if (Reply.Kind_ == SyncKind::Unchanged)
     return fail(ErrorCode::VersionCurrent, "answered as unchanged");
   bool IsDelta = Reply.Kind_ == SyncKind::Delta;
-  BOOST_OUTCOME_TRY(
-      checkOrder(IsDelta ? Reply.Delta_.Version_ : Reply.Image_.Version_,
-                 IsDelta ? Reply.Delta_.Digest_ : Reply.Image_.Digest_));
+  const ConfigVersion &Version =
+      IsDelta ? Reply.Delta_.Version_ : Reply.Image_.Version_;
+  const Digest128 &Digest =
+      IsDelta ? Reply.Delta_.Digest_ : Reply.Image_.Digest_;
+  if (Reply.Check_ != checkOf(Version, Digest)) {
+    ++Counts_.Invalid_;
+    return fail(ErrorCode::DigestMismatch, "version or digest altered");
+  }
+  BOOST_OUTCOME_TRY(checkOrder(Version, Digest));
   if (IsDelta && !Current_) {
     ++Counts_.Invalid_;
     return fail(ErrorCode::DeltaBaseMismatch, "no version held");
@@ -116,22 +137,26 @@
     Reply.Kind_ = SyncKind::Delta;
     Reply.Delta_ = config::makeDelta(*Base, *Current_);
   }
+  Reply.Check_ = checkOf(version(), digest());
   return Reply;
 }
 
 bool VersionStore::refuse(const Refusal &Refused, TimePoint Now) {
   Last_ = Refused;
+  LastAt_ = Now;
   return keep(Refused, Now);
 }
 
 bool VersionStore::mergeRefusal(const Refusal &Refused, TimePoint Now) {
+  if (Last_ && Now - LastAt_ > RefusalLifetime)
+    Last_.reset();
   bool Known =
       std::any_of(Refusals_.begin(), Refusals_.end(),
                   [&](const auto &Other) { return Other.first == Refused; });
-  if (Refused.Version_.Revision_ == 0 || Known || isSuperseded(Refused))
+  if (Refused.Version_.Revision_ == 0 || Known || isSuperseded(Refused) ||
+      (Last_ && rankOf(Refused) <= rankOf(*Last_)))
     return false;
-  Last_ = Refused;
-  return keep(Refused, Now);
+  return refuse(Refused, Now);
 }
 
 bool VersionStore::keep(const Refusal &Refused, TimePoint Now) {
