Report the end of each attempt to the pool exactly once

A deadline between the hand-over of a call and the return of its stream number cancelled the stream without counting the call out of the pool, so that the host looked busier for ever.

--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -217,13 +217,13 @@
 void CallerCall::send(const HostId &Host, unsigned Attempt) {
   CallerSideParts &Parts = Context_->Parts_;
   if (Parts.Local_ && Host == toHostId(Parts.Settings_.PeerAddress_)) {
-    sendLocal(Attempt);
+    sendLocal(Host, Attempt);
     return;
   }
   Parts.Peers_.get(Host, [Self = shared_from_this(), Host,
                           Attempt](Result<transport::PeerConnectionPtr> Value) {
     if (Value)
-      Self->sendOver(Value.value(), Attempt);
+      Self->sendOver(Host, Value.value(), Attempt);
     else
       Self->onConnectFailed(Host, Attempt, Value.error());
   });
@@ -245,12 +245,12 @@
   return Start;
 }
 
-void CallerCall::sendOver(const transport::PeerConnectionPtr &Connection,
+void CallerCall::sendOver(const HostId &Host,
+                          const transport::PeerConnectionPtr &Connection,
                           unsigned Attempt) {
-  HostId Host = Tried_.back();
   TimePoint Sent = std::chrono::steady_clock::now();
   if (!handOver(Attempt)) {
-    State_->onResult(Host, {ErrorCode::Cancelled, false, {}, {}}, Sent);
+    reportCancelled(Host, Attempt);
     return;
   }
   std::uint32_t Stream =
@@ -268,15 +268,16 @@
       Stream_ = Stream;
     }
   }
-  if (Late)
-    Connection->cancel(Stream);
+  if (!Late)
+    return;
+  Connection->cancel(Stream);
+  reportCancelled(Host, Attempt);
 }
 
-void CallerCall::sendLocal(unsigned Attempt) {
-  HostId Host = Tried_.back();
+void CallerCall::sendLocal(const HostId &Host, unsigned Attempt) {
   TimePoint Sent = std::chrono::steady_clock::now();
   if (!handOver(Attempt)) {
-    State_->onResult(Host, {ErrorCode::Cancelled, false, {}, {}}, Sent);
+    reportCancelled(Host, Attempt);
     return;
   }
   TargetSide &Local = *Context_->Parts_.Local_;
@@ -299,8 +300,7 @@
 
 void CallerCall::onConnectFailed(const HostId &Host, unsigned Attempt,
                                  const Failure &Why) {
-  TimePoint Now = std::chrono::steady_clock::now();
-  State_->onResult(Host, {ErrorCode::ConnectionFailed, false, {}, {}}, Now);
+  report(Host, Attempt, {ErrorCode::ConnectionFailed, false, {}, {}});
   if (Why.Code_ != ErrorCode::ProtocolVersion)
     Context_->Parts_.Environment_.reportHostFailure(Host);
   {
@@ -331,7 +331,7 @@
     if (Lost && Lost->Why_.Code_ == ErrorCode::ConnectionFailed)
       Context_->Parts_.Environment_.reportHostFailure(Host);
   }
-  State_->onResult(Host, Sample, std::chrono::steady_clock::now());
+  report(Host, Attempt, Sample);
   {
     std::lock_guard Lock(Mutex_);
     if (Ended_ || Tracker_.attempts() != Attempt)
@@ -357,10 +357,9 @@
 void CallerCall::onReply(const HostId &Host, unsigned Attempt, TimePoint Sent,
                          transport::PeerReply Reply) {
   TimePoint Now = std::chrono::steady_clock::now();
-  State_->onResult(
-      Host,
-      {std::nullopt, Reply.Start_.Status_ >= 500, Now - Sent, Reply.End_.Load_},
-      Now);
+  report(Host, Attempt,
+         {std::nullopt, Reply.Start_.Status_ >= 500, Now - Sent,
+          Reply.End_.Load_});
   {
     std::lock_guard Lock(Mutex_);
     if (Ended_ || Tracker_.attempts() != Attempt)
@@ -454,8 +453,10 @@
   std::optional<std::uint64_t> Number;
   std::uint32_t Stream = 0;
   HostId Host;
+  unsigned Attempt = 0;
   {
     std::lock_guard Lock(Mutex_);
+    Attempt = Tracker_.attempts();
     Connection = std::exchange(Connection_, nullptr);
     Number = std::exchange(LocalNumber_, std::nullopt);
     Stream = Stream_;
@@ -465,13 +466,27 @@
   if (Connection) {
     Connection->cancel(Stream);
     // The connection reports nothing more for a cancelled stream.
-    State_->onResult(Host, {ErrorCode::Cancelled, false, {}, {}},
-                     std::chrono::steady_clock::now());
+    reportCancelled(Host, Attempt);
   }
   if (Number)
     Context_->Parts_.Local_->cancelLocal(*Number);
 }
 
+void CallerCall::report(const HostId &Host, unsigned Attempt,
+                        const routing::CallSample &Sample) {
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Reported_ >= Attempt)
+      return;
+    Reported_ = Attempt;
+  }
+  State_->onResult(Host, Sample, std::chrono::steady_clock::now());
+}
+
+void CallerCall::reportCancelled(const HostId &Host, unsigned Attempt) {
+  report(Host, Attempt, {ErrorCode::Cancelled, false, {}, {}});
+}
+
 void CallerCall::refuse(ErrorCode Code) {
   {
     std::lock_guard Lock(Mutex_);
--- a/src/Node/CallerCall.h
+++ b/src/Node/CallerCall.h
@@ -56,9 +56,10 @@
   void attempt();
   Result<HostId> chooseHost(TimePoint Now);
   void send(const HostId &Host, unsigned Attempt);
-  void sendOver(const transport::PeerConnectionPtr &Connection,
+  void sendOver(const HostId &Host,
+                const transport::PeerConnectionPtr &Connection,
                 unsigned Attempt);
-  void sendLocal(unsigned Attempt);
+  void sendLocal(const HostId &Host, unsigned Attempt);
   bool handOver(unsigned Attempt);
   CallStart makeStart() const;
 
@@ -72,6 +73,13 @@
   void onDeadline();
   void onDisconnect();
 
+  /// Reports the end of an attempt to the pool, once: the events of one
+  /// attempt may come from several threads, and a pool counts each call out
+  /// that it has counted in.
+  void report(const HostId &Host, unsigned Attempt,
+              const routing::CallSample &Sample);
+  void reportCancelled(const HostId &Host, unsigned Attempt);
+
   void refuse(ErrorCode Code);
   void finishWithError(ErrorCode Code);
   void cancelAttempt();
@@ -92,6 +100,7 @@
   calls::OutcomeTracker Tracker_{calls::CallSide::CallerNode};
   std::vector<HostId> Tried_;
   unsigned UnknownAttempts_ = 0;
+  unsigned Reported_ = 0;
   bool HandedOver_ = false;
   bool Ended_ = false;
   transport::PeerConnectionPtr Connection_;
