--- a/src/Node/CallerSide.cpp
+++ b/src/Node/CallerSide.cpp
@@ -16,7 +16,7 @@
 constexpr std::string_view OwnPaths = "/.marigold/";
 // Body limit of a request that will be refused anyway. Its body is read, so
 // that the caller gets the specific reason.
-constexpr std::uint64_t DefaultBodyLimit = 64 * 1024;
+constexpr std::uint64_t DefaultBodyLimit = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/src/Node/TargetSideImpl.h
+++ b/src/Node/TargetSideImpl.h
@@ -54,6 +54,14 @@
 
 using TargetRunPtr = std::shared_ptr<TargetRun>;
 
+/// Runs in progress when the connection of one of them was lost. They are
+/// suspects if the process turns out to be gone.
+struct TargetCrashCheck {
+  std::unordered_map<std::uint64_t, std::uint64_t> Fingerprints_;
+  std::size_t Runs_ = 0;
+  std::size_t Lost_ = 0;
+};
+
 /// State of TargetSide. Locks: the admission shard and the key shard, never
 /// both, and none while a callback or the environment is called.
 class TargetSide::Impl : public std::enable_shared_from_this<Impl> {
@@ -101,14 +109,6 @@
     std::vector<std::function<void()>> Drained_;
   };
 
-  /// Runs in progress when the connection of one of them was lost. They are
-  /// suspects if the process turns out to be gone.
-  struct CrashCheck {
-    std::unordered_map<std::uint64_t, std::uint64_t> Fingerprints_;
-    std::size_t Runs_ = 0;
-    std::size_t Lost_ = 0;
-  };
-
   /// Keys, stored answers and crash suspects.
   struct KeyShard {
     std::mutex Mutex_;
@@ -117,7 +117,8 @@
   };
 
   AdmissionShard Admission_;
-  std::optional<CrashCheck> CrashCheck_; // Under the admission shard's lock.
+  std::optional<TargetCrashCheck>
+      CrashCheck_; // Under the admission shard's lock.
   KeyShard Keys_;
   std::uint64_t Incarnation_;
   std::atomic<std::uint64_t> LastId_ = 0;
--- a/src/Transport/HttpClientConnection.cpp
+++ b/src/Transport/HttpClientConnection.cpp
@@ -2,9 +2,11 @@
 
 #include "Transport/HttpHead.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -23,28 +25,70 @@
 void HttpClientConnection::connect(const tcp::endpoint &Target,
                                    TimePoint Deadline,
                                    std::function<void(Result<void>)> Callback) {
+  boost::system::error_code Error;
+  Socket_.open(tcp::v4(), Error);
+  if (!Error)
+    Socket_.non_blocking(true, Error);
+  int Handle = Socket_.native_handle();
+  if (!Error && ::connect(Handle, Target.data(),
+                          static_cast<socklen_t>(Target.size())) != 0)
+    Error.assign(errno, boost::system::system_category());
+  if (Error && Error != asio::error::in_progress) {
+    // Posted: a failure within this call would recurse for each waiting
+    // request.
+    asio::post(Socket_.get_executor(), [Self = shared_from_this(), Error,
+                                        Callback = std::move(Callback)] {
+      Self->onConnected(Error, Callback);
+    });
+    return;
+  }
+  // Over loopback the handshake is complete when connect returns, which saves
+  // a wait for the event loop on the path of a request.
+  pollfd Ready{Handle, POLLOUT, 0};
+  if (::poll(&Ready, 1, 0) == 1) {
+    onConnected(connectError(), Callback);
+    return;
+  }
   armTimer(
       std::min(Deadline, std::chrono::steady_clock::now() + Limits_.Connect_));
-  Socket_.async_connect(
-      Target, [Self = shared_from_this(), Callback = std::move(Callback)](
-                  boost::system::error_code Error) {
-        Self->Timer_.cancel();
-        if (Error || Self->Closed_) {
-          bool TimedOut = Self->Closed_;
-          Self->close(ErrorCode::ConnectionFailed);
-          Callback(
-              fail(TimedOut ? ErrorCode::TimedOut : ErrorCode::ConnectionFailed,
-                   Error.message()));
-          return;
-        }
-        boost::system::error_code Ignored;
-        Self->Socket_.set_option(tcp::no_delay(true), Ignored);
-        Self->IdleSince_ = std::chrono::steady_clock::now();
-        Callback(success());
-        Self->read();
+  Socket_.async_wait(
+      tcp::socket::wait_write,
+      [Self = shared_from_this(),
+       Callback = std::move(Callback)](boost::system::error_code Failed) {
+        Self->onConnected(Failed ? Failed : Self->connectError(), Callback);
       });
 }
 
+boost::system::error_code HttpClientConnection::connectError() {
+  int Code = 0;
+  socklen_t Size = sizeof(Code);
+  if (::getsockopt(Socket_.native_handle(), SOL_SOCKET, SO_ERROR, &Code,
+                   &Size) != 0)
+    Code = errno;
+  return {Code, boost::system::system_category()};
+}
+
+void HttpClientConnection::onConnected(
+    boost::system::error_code Error,
+    const std::function<void(Result<void>)> &Callback) {
+  Timer_.cancel();
+  // A socket can connect to itself when nobody listens on a port of the
+  // ephemeral range; that would count as a target that accepts.
+  boost::system::error_code Ignored;
+  if (!Error && !Closed_ &&
+      Socket_.local_endpoint(Ignored) == Socket_.remote_endpoint(Ignored))
+    Error = asio::error::connection_refused;
+  if (Error || Closed_) {
+    close(ErrorCode::ConnectionFailed, Error.message());
+    Callback(CloseReason_);
+    return;
+  }
+  Socket_.set_option(tcp::no_delay(true), Ignored);
+  IdleSince_ = std::chrono::steady_clock::now();
+  Callback(success());
+  read();
+}
+
 bool HttpClientConnection::isUsable() {
   if (Closed_ || Done_ || Buffer_.size() != 0)
     return false;
--- a/src/Transport/HttpClientConnection.h
+++ b/src/Transport/HttpClientConnection.h
@@ -27,7 +27,8 @@
                        const HttpClientLimits &Limits);
 
   /// Opens the connection; gives up at the earlier of the connection limit
-  /// and Deadline.
+  /// and Deadline. Callback runs within this call if the connection is open at
+  /// once.
   void connect(const boost::asio::ip::tcp::endpoint &Target, TimePoint Deadline,
                std::function<void(Result<void>)> Callback);
 
@@ -56,6 +57,9 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
   using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
+  void onConnected(boost::system::error_code Error,
+                   const std::function<void(Result<void>)> &Callback);
+  boost::system::error_code connectError();
   void read();
   void onRead(boost::system::error_code Error, std::size_t Size);
   void parse();
@@ -67,7 +71,7 @@
   boost::asio::ip::tcp::socket Socket_;
   boost::asio::steady_timer Timer_;
   const HttpClientLimits Limits_;
-  std::array<char, 8 * 1024> Input_;
+  std::array<char, 8192> Input_;
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   std::optional<Message> Message_;
--- a/src/Transport/HttpClientPool.h
+++ b/src/Transport/HttpClientPool.h
@@ -57,7 +57,7 @@
   /// Connections at once; requests beyond wait for one.
   std::size_t Connections_ = 100;
   /// Largest response body in bytes.
-  std::uint64_t Response_ = 8 * 1024 * 1024;
+  std::uint64_t Response_ = std::size_t{8} * 1024 * 1024;
   /// Longest wait for a connection to be opened.
   Duration Connect_ = std::chrono::milliseconds(500);
   /// A connection that was idle for longer is closed instead of being used.
--- a/src/Transport/HttpGet.h
+++ b/src/Transport/HttpGet.h
@@ -22,7 +22,7 @@
   /// blocking read, the wait named in the query plus a margin.
   Duration Timeout_ = std::chrono::seconds(5);
   /// Largest response body in bytes.
-  std::uint64_t Limit_ = 2 * 1024 * 1024;
+  std::uint64_t Limit_ = std::size_t{2} * 1024 * 1024;
 };
 
 /// A complete response with the bytes that it took.
--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -17,9 +17,11 @@
 
 // Bytes of later requests that are read while one is handled. Reading goes on
 // during that time so that a client that goes away is noticed.
-constexpr std::size_t AheadLimit = 16 * 1024;
+constexpr std::size_t AheadLimit = std::size_t{16} * 1024;
 // Most bytes that may wait for the end of a chunk header.
-constexpr std::size_t UnparsedLimit = 64 * 1024;
+constexpr std::size_t UnparsedLimit = std::size_t{64} * 1024;
+// Body limit of a server whose options name none.
+constexpr std::uint64_t DefaultBodyLimit = std::size_t{64} * 1024;
 // A connection that is closed after a refusal reads on for this time. Closing
 // it with unread bytes would make the kernel send a reset, which can destroy
 // the response before the client has read it.
@@ -208,7 +210,7 @@
 
 void HttpServerConnection::acceptBody() {
   std::uint64_t Limit =
-      Options_->BodyLimit_ ? Options_->BodyLimit_(Request_) : 64 * 1024;
+      Options_->BodyLimit_ ? Options_->BodyLimit_(Request_) : DefaultBodyLimit;
   auto Length = Parser_->content_length();
   if (Length && *Length > Limit) {
     refuse(ErrorCode::BodyTooLarge);
--- a/src/Transport/HttpServerConnection.h
+++ b/src/Transport/HttpServerConnection.h
@@ -98,7 +98,7 @@
   const std::shared_ptr<std::atomic<std::size_t>> Open_;
   // Bytes are read here first: a read stays in progress while Buffer_ is
   // consumed.
-  std::array<char, 8 * 1024> Input_;
+  std::array<char, 8192> Input_;
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   HttpRequest Request_;
--- a/src/Transport/HttpTypes.h
+++ b/src/Transport/HttpTypes.h
@@ -12,7 +12,7 @@
 namespace marigold::transport {
 
 /// Largest header section of an HTTP message in bytes.
-inline constexpr std::size_t HttpHeaderLimit = 16 * 1024;
+inline constexpr std::size_t HttpHeaderLimit = std::size_t{16} * 1024;
 
 /// A complete HTTP request. Names of header fields are in lower case. Fields
 /// that hold for one connection only (such as Connection) are left out.
--- a/src/Transport/PeerConnection.h
+++ b/src/Transport/PeerConnection.h
@@ -21,25 +21,25 @@
 /// Limits of peer connections. The defaults are those of the design page.
 struct PeerLimits {
   /// Largest frame body in bytes, except that of a SyncReply.
-  std::size_t Frame_ = 64 * 1024;
+  std::size_t Frame_ = std::size_t{64} * 1024;
   /// Largest body of a SyncReply in bytes.
-  std::size_t SnapshotFrame_ = 2 * 1024 * 1024;
+  std::size_t SnapshotFrame_ = std::size_t{2} * 1024 * 1024;
   /// Largest piece of a body in one data frame in bytes.
-  std::size_t Chunk_ = 16 * 1024;
+  std::size_t Chunk_ = std::size_t{16} * 1024;
   /// Credit of a new stream in bytes, in each direction.
-  std::size_t Window_ = 256 * 1024;
+  std::size_t Window_ = std::size_t{256} * 1024;
   /// Control frames that wait to be written, in bytes. A connection whose
   /// peer reads so slowly that more accumulates is closed.
-  std::size_t ControlQueue_ = 8 * 1024 * 1024;
+  std::size_t ControlQueue_ = std::size_t{8} * 1024 * 1024;
   /// Bodies that wait to be written, in bytes; more are refused.
-  std::size_t BodyQueue_ = 64 * 1024 * 1024;
+  std::size_t BodyQueue_ = std::size_t{64} * 1024 * 1024;
   /// Request bodies under reception on one connection, in bytes; further calls
   /// with a body are refused with QueueFull.
-  std::size_t Reception_ = 64 * 1024 * 1024;
+  std::size_t Reception_ = std::size_t{64} * 1024 * 1024;
   /// Streams that are open at once in one direction.
   std::size_t Streams_ = 4096;
   /// Largest body of a reply in bytes.
-  std::uint64_t Reply_ = 16 * 1024 * 1024;
+  std::uint64_t Reply_ = std::size_t{16} * 1024 * 1024;
   /// Time within which both Hello frames must have arrived.
   Duration Handshake_ = std::chrono::seconds(2);
   /// A connection without streams is closed after this time without a frame.
--- a/src/Transport/PeerLink.cpp
+++ b/src/Transport/PeerLink.cpp
@@ -21,10 +21,10 @@
 // and its type.
 constexpr std::size_t LengthSize = 4;
 constexpr std::size_t FrameHead = LengthSize + 1;
-constexpr std::size_t ReadSize = 64 * 1024;
+constexpr std::size_t ReadSize = std::size_t{64} * 1024;
 // Bytes of one write. Larger batches save system calls but let a control
 // frame wait longer behind data.
-constexpr std::size_t BatchLimit = 64 * 1024;
+constexpr std::size_t BatchLimit = std::size_t{64} * 1024;
 // Unacknowledged data older than this ends the connection, so that a peer that
 // vanished is noticed before the kernel's default of about 15 minutes.
 constexpr unsigned UserTimeoutMs = 10'000;
--- a/unittests/Node/MeshFixture.cpp
+++ b/unittests/Node/MeshFixture.cpp
@@ -149,12 +149,12 @@
   Read.Methods_ = {"GET"};
   Read.Repeatable_ = true;
   Read.Deadline_ = std::chrono::seconds(60);
-  Read.MaxBody_ = 4 * 1024 * 1024;
+  Read.MaxBody_ = 4'194'304;
   RouteConfig Book = config::defaultRoute("/bookings");
   Book.Methods_ = {"POST"};
   Book.Repeatable_ = false;
   Book.Deadline_ = std::chrono::seconds(60);
-  Book.MaxBody_ = 4 * 1024 * 1024;
+  Book.MaxBody_ = 4'194'304;
   Desk.Routes_ = {Book, Read};
   View_.Snapshot_ =
       config::buildSnapshot({1, "mesh", {std::move(Desk)}}, {1, 1});
