Bound the peers that a starting node asks in one round

Cause: a starting node learns of the whole fleet by gossip and asked each known peer every 250 ms; at a restart of 3,000 nodes questions grow with the square of the fleet. Change: the seeds, the holder of the highest version known and at most 8 random others are asked.

--- a/src/Distribution/Bootstrap.cpp
+++ b/src/Distribution/Bootstrap.cpp
@@ -11,7 +11,7 @@
       Backoff_(Options.FirstBackoff_, Options.MaxBackoff_), Start_(Now),
       NextAsk_(Now), SourceAt_(Now + Rng_.upTo(Options.RestartSpread_)) {
   for (const HostId &Peer : Peers)
-    addPeer(Peer);
+    Peers_[Peer].IsSeed_ = true;
 }
 
 void Bootstrap::addPeer(const HostId &Peer) { Peers_.try_emplace(Peer); }
@@ -131,11 +131,31 @@
   NextAsk_ =
       Now + (Now - Start_ < Options_.Grace_ ? Options_.AskInterval_
                                             : Options_.LaterAskInterval_);
-  for (auto &[Id, State] : Peers_) {
-    // A peer whose pull failed is tried again in the next round.
+  // A peer whose pull failed is tried again in the next round.
+  for (auto &[Id, State] : Peers_)
     State.PullFailed_ = false;
-    Out.push_back(AskPeer{Id});
+  for (const HostId &Peer : peersToAsk())
+    Out.push_back(AskPeer{Peer});
+}
+
+std::vector<HostId> Bootstrap::peersToAsk() {
+  std::vector<HostId> Asked;
+  std::vector<HostId> Others;
+  const std::pair<const HostId, PeerState> *Best = nullptr;
+  for (const auto &Peer : Peers_) {
+    (Peer.second.IsSeed_ ? Asked : Others).push_back(Peer.first);
+    if (!Best || Best->second.Version_ < Peer.second.Version_)
+      Best = &Peer;
   }
+  std::shuffle(Others.begin(), Others.end(), Rng_.engine());
+  // The holder of the highest version is asked in each round, so that it
+  // counts as reachable and no lower version is taken from the source.
+  if (Best && !Best->second.IsSeed_)
+    std::iter_swap(Others.begin(),
+                   std::find(Others.begin(), Others.end(), Best->first));
+  Others.resize(std::min(Others.size(), Options_.AskedBesidesSeeds_));
+  Asked.insert(Asked.end(), Others.begin(), Others.end());
+  return Asked;
 }
 
 void Bootstrap::planSource(TimePoint Now, BootstrapActions &Out) {
--- a/src/Distribution/Bootstrap.h
+++ b/src/Distribution/Bootstrap.h
@@ -53,6 +53,10 @@
   /// Time between two rounds of questions during the grace, and afterwards.
   Duration AskInterval_ = std::chrono::milliseconds(250);
   Duration LaterAskInterval_ = std::chrono::seconds(1);
+  /// Peers besides the seeds that are asked in one round. A starting node may
+  /// learn of the whole fleet before it has a version; when all nodes start at
+  /// once, questions to everyone would grow with the square of the fleet.
+  std::size_t AskedBesidesSeeds_ = 8;
   /// Longest wait for a pull.
   Duration PullTimeout_ = std::chrono::seconds(2);
   /// Time after its last answer for which a peer counts as reachable. While a
@@ -95,6 +99,7 @@
 
 private:
   struct PeerState {
+    bool IsSeed_ = false;
     std::optional<TimePoint> AnsweredAt_;
     std::string FailureDomain_;
     ConfigVersion Version_;
@@ -108,6 +113,7 @@
   std::optional<HostId> pullCandidate(TimePoint Now) const;
   bool adoptFromSource(TimePoint Now);
   void askPeers(TimePoint Now, BootstrapActions &Out);
+  std::vector<HostId> peersToAsk();
   void planSource(TimePoint Now, BootstrapActions &Out);
 
   VersionStore &Store_;
--- a/unittests/Distribution/BootstrapTest.cpp
+++ b/unittests/Distribution/BootstrapTest.cpp
@@ -51,6 +51,28 @@
 
 } // namespace
 
+// Guards against questions that grow with the square of the fleet when all
+// nodes start at once.
+TEST_CASE_FIXTURE(BootstrapFixture,
+                  "bootstrap that knows a large fleet asks few peers a round") {
+  constexpr std::uint32_t Holder = 2500;
+  for (std::uint32_t Number = 5; Number <= 3000; ++Number)
+    Boot_.addPeer(peer(Number));
+  answer(Holder, "quito", 9);
+  for (int Round = 0; Round < 20; ++Round, Now_ += 250ms) {
+    auto Actions = Boot_.tick(Now_);
+    std::size_t Asked = 0;
+    bool HolderAsked = false;
+    for (const BootstrapAction &Each : Actions)
+      if (const auto *Ask = std::get_if<AskPeer>(&Each)) {
+        ++Asked;
+        HolderAsked |= Ask->Peer_ == peer(Holder);
+      }
+    CHECK(Asked <= 4 + BootstrapOptions().AskedBesidesSeeds_);
+    CHECK((Asked == 0 || HolderAsked));
+  }
+}
+
 TEST_CASE_FIXTURE(BootstrapFixture,
                   "bootstrap takes the highest version of three answers") {
   CHECK(Boot_.tick(Now_).size() == 4);
