--- a/programs/marigold-bench/Main.cpp
+++ b/programs/marigold-bench/Main.cpp
@@ -1,5 +1,7 @@
 #include "ChoiceBench.h"
+#include "DetectionBench.h"
 #include "OverloadBench.h"
+#include "ViewBench.h"
 
 #include <cstdio>
 #include <string_view>
@@ -11,6 +13,11 @@
     return marigold::bench::runChoiceBench(Seed);
   if (Name == "overload")
     return marigold::bench::runOverloadBench(Seed);
-  std::fprintf(stderr, "usage: marigold-bench choice|overload\n");
+  if (Name == "view")
+    return marigold::bench::runViewBench(Seed);
+  if (Name == "detection")
+    return marigold::bench::runDetectionBench(Seed);
+  std::fprintf(stderr,
+               "usage: marigold-bench choice|overload|view|detection\n");
   return 2;
 }
--- a/src/Membership/ProbeScheduler.cpp
+++ b/src/Membership/ProbeScheduler.cpp
@@ -217,6 +217,18 @@
   return Out;
 }
 
+Actions ProbeScheduler::check(const HostId &Id, TimePoint Now) {
+  Actions Out;
+  const HostEntry *Entry = Table_.find(Id);
+  bool Running =
+      std::any_of(Probes_.begin(), Probes_.end(),
+                  [&](const auto &Each) { return Each.second.Subject_ == Id; });
+  if (Id != Own_.Id_ && Entry && !isTombstone(Entry->Record_.State_) &&
+      !Running)
+    startProbe(Id, Entry->Record_, Now, Out);
+  return Out;
+}
+
 Actions ProbeScheduler::setOwnState(HostState State, TimePoint Now) {
   Actions Out;
   Own_.State_ = State;
--- a/src/Membership/ProbeScheduler.h
+++ b/src/Membership/ProbeScheduler.h
@@ -91,6 +91,12 @@
   /// starting nodes that ask their seeds. No suspicion follows from it.
   Actions ask(const HostId &Id, TimePoint Now);
 
+  /// Probes a host at once, for a caller whose connection to it was lost. With
+  /// one probe a second a host waits about a second, and in one case of a
+  /// hundred about 5 s, until any node probes it. Does nothing for a host that
+  /// is not known to be alive or is being probed.
+  Actions check(const HostId &Id, TimePoint Now);
+
   /// Changes this node's own state. Raises the sequence.
   Actions setOwnState(HostState State, TimePoint Now);
 
--- a/src/Membership/SuspicionTable.cpp
+++ b/src/Membership/SuspicionTable.cpp
@@ -9,6 +9,11 @@
 // Fraction of the timeout that remains with full confirmations.
 constexpr double ShortestFraction = 1.0 / 3;
 
+// Factor on the time of a node that only heard of the suspicion. Under loss its
+// copy of the refutation may be late; it declares the suspect dead only if all
+// accusers have failed meanwhile.
+constexpr int HearsayFactor = 3;
+
 // Reminders of a node that only heard of the suspicion, before it declares the
 // suspect dead.
 constexpr int FinalReminders = 6;
@@ -47,7 +52,7 @@
   std::vector<SuspicionStep> Steps;
   Duration Final = Options_.Reminder_ * FinalReminders;
   for (auto &[Subject, Running] : Running_) {
-    Duration Patience = patience(Running);
+    Duration Patience = patience(Running) * (Running.Own_ ? 1 : HearsayFactor);
     TimePoint Deadline = Running.Start_ + Patience;
     if (!Running.Own_)
       Deadline += Final;
--- a/src/Membership/UpdateQueue.cpp
+++ b/src/Membership/UpdateQueue.cpp
@@ -61,7 +61,8 @@
 
 UpdateQueue::Rank UpdateQueue::rank(const Item &Queued) const {
   const HostId &Id = Queued.Update_.Record_.Id_;
-  return {Id != Own_, Queued.Sent_, Queued.Order_, Id};
+  bool IsSuspicion = Queued.Update_.Record_.State_ == HostState::Suspect;
+  return {Id != Own_, IsSuspicion, Queued.Sent_, Queued.Order_, Id};
 }
 
 void UpdateQueue::erase(const HostId &Id) {
--- a/src/Membership/UpdateQueue.h
+++ b/src/Membership/UpdateQueue.h
@@ -13,7 +13,9 @@
 namespace marigold::membership {
 
 /// Changes of host records that wait to ride on datagrams. The least often
-/// sent goes first, changes of the node's own state before all others. Each
+/// sent goes first, changes of the node's own state before all others, and
+/// suspicions last: under heavy loss they would crowd out their refutations.
+/// Each
 /// is sent about 3*log2(n) times, which reaches n nodes with high
 /// probability.
 class UpdateQueue {
@@ -47,8 +49,8 @@
     std::size_t Sent_ = 0;
     std::uint64_t Order_ = 0;
   };
-  // Not of the own host, times sent, newest first.
-  using Rank = std::tuple<bool, std::size_t, std::uint64_t, HostId>;
+  // Not of the own host, a suspicion, times sent, newest first.
+  using Rank = std::tuple<bool, bool, std::size_t, std::uint64_t, HostId>;
 
   Rank rank(const Item &Queued) const;
   void erase(const HostId &Id);
--- a/unittests/Membership/ProbeSchedulerTest.cpp
+++ b/unittests/Membership/ProbeSchedulerTest.cpp
@@ -203,6 +203,28 @@
   CHECK_FALSE(Relayed[0].Reached_);
 }
 
+TEST_CASE_FIXTURE(ProbeSchedulerFixture,
+                  "check probes a live host at once and only once") {
+  learn(2);
+  CHECK(sent<Ping>(Probes_.check({2, 7400}, Now_)).size() == 1);
+  CHECK(Probes_.check({2, 7400}, Now_).empty());
+  CHECK(Probes_.check({3, 7400}, Now_).empty());
+  CHECK(Probes_.check({1, 7400}, Now_).empty());
+}
+
+// Under heavy loss a node that only heard of a suspicion must leave the
+// refutation more time than the accuser; 45 false deaths in 83 node hours at
+// 20 % loss came from this.
+TEST_CASE("suspicion that was only heard of runs three times as long") {
+  TimePoint Start{1h};
+  SuspicionTable Table({3s, 150ms});
+  Table.accuse({9, 7400}, {1, 7400}, false, 1, Start);
+  CHECK(Table.due(Start + 8900ms).empty());
+  REQUIRE(Table.due(Start + 9100ms).size() == 1);
+  CHECK_FALSE(Table.due(Start + 9300ms)[0].Expired_);
+  CHECK(Table.due(Start + 10s)[0].Expired_);
+}
+
 // F6: after a partition old judgements come in exchanges of whole tables.
 TEST_CASE_FIXTURE(ProbeSchedulerFixture,
                   "exchanged death of a live host is verified, not believed") {
