--- a/src/Transport/PeerConnectionPool.cpp
+++ b/src/Transport/PeerConnectionPool.cpp
@@ -54,7 +54,8 @@
 
   void open(const HostId &Peer, std::uint64_t Number);
   void finish(const HostId &Peer, std::uint64_t Number,
-              std::shared_ptr<PeerLink> Link, Result<PeerConnectionPtr> Value);
+              const std::shared_ptr<PeerLink> &Link,
+              const Result<PeerConnectionPtr> &Value);
   std::shared_ptr<PeerLink> makeRoom();
 
   asio::io_context &Io_;
@@ -95,7 +96,7 @@
             std::chrono::steady_clock::now() < Slot.NotBefore_) {
           Known = Slot.LastFailure_;
         } else {
-          Slot.Waiting_.push_back(std::move(Done));
+          Slot.Waiting_.push_back(Done);
           if (!Slot.Opening_) {
             Slot.Opening_ = true;
             Number = Slot.Attempt_ = ++Attempts_;
@@ -147,9 +148,14 @@
       Try->Socket_.close(Ignored);
     });
     tcp::endpoint Endpoint(asio::ip::address_v4(Peer.Ipv4_), Peer.Port_);
-    Try->Socket_.async_connect(Endpoint, [Self, Try, Peer, Number](
+    Try->Socket_.async_connect(Endpoint, [Self, Try, Peer, Number, Endpoint](
                                              boost::system::error_code Error) {
       Try->Timer_.cancel();
+      // A socket can connect to itself when nobody listens on the port.
+      boost::system::error_code Ignored;
+      if (!Error && !Try->TimedOut_ &&
+          Try->Socket_.local_endpoint(Ignored) == Endpoint)
+        Error = asio::error::connection_refused;
       if (Error || Try->TimedOut_) {
         Self->finish(Peer, Number, nullptr,
                      fail(Try->TimedOut_ ? ErrorCode::TimedOut
@@ -161,8 +167,8 @@
       auto Holder = std::make_shared<std::weak_ptr<PeerLink>>();
       auto Link = std::make_shared<PeerLink>(
           std::move(Try->Socket_), Self->Handler_, Self->Options_, true, Peer,
-          [Self, Peer, Number, Holder](Result<PeerConnectionPtr> Value) {
-            Self->finish(Peer, Number, Holder->lock(), std::move(Value));
+          [Self, Peer, Number, Holder](const Result<PeerConnectionPtr> &Value) {
+            Self->finish(Peer, Number, Holder->lock(), Value);
           });
       *Holder = Link;
       Link->start();
@@ -171,8 +177,8 @@
 }
 
 void PeerConnectionPool::Impl::finish(const HostId &Peer, std::uint64_t Number,
-                                      std::shared_ptr<PeerLink> Link,
-                                      Result<PeerConnectionPtr> Value) {
+                                      const std::shared_ptr<PeerLink> &Link,
+                                      const Result<PeerConnectionPtr> &Value) {
   std::vector<PeerCallback> Waiting;
   bool Superseded = false;
   {
@@ -185,7 +191,7 @@
       Slot.Opening_ = false;
       Waiting.swap(Slot.Waiting_);
       if (Value) {
-        Slot.Link_ = std::move(Link);
+        Slot.Link_ = Link;
         Slot.Backoff_.reset();
         Slot.NotBefore_ = TimePoint();
       } else {
