Observe a closed connection without parallel coroutines

The analyzer of clang-tidy 14 reports a null dereference inside Boost.Asio for awaitable operators. A plain handler that ends the timer does the same with less work per request. Timers are ended by their expiry instead of cancel(), which a wait that begins later would not see.

--- a/src/StandIns/HttpListener.cpp
+++ b/src/StandIns/HttpListener.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -27,13 +26,13 @@
 /// keep the thread busy.
 constexpr std::chrono::milliseconds AcceptPause{20};
 
-asio::awaitable<void> waitForTimer(asio::steady_timer &Timer) {
-  co_await Timer.async_wait(Token);
-}
-
-asio::awaitable<void> waitForInput(tcp::socket &Socket) {
-  co_await Socket.async_wait(tcp::socket::wait_read, Token);
-}
+/// Observes the input of a connection while its request runs.
+struct InputWatch {
+  /// Timer to cancel on input; null once nobody waits.
+  asio::steady_timer *Timer_ = nullptr;
+  /// Input or the end of the connection was seen.
+  bool Seen_ = false;
+};
 
 } // namespace
 
@@ -48,10 +47,18 @@
 }
 
 asio::awaitable<bool> HttpSession::closedBefore(asio::steady_timer &Timer) {
-  using namespace asio::experimental::awaitable_operators;
-  auto Ended = co_await (waitForTimer(Timer) || waitForInput(Socket_));
-  if (Ended.index() == 0)
+  auto Watch = std::make_shared<InputWatch>(InputWatch{&Timer});
+  Socket_.async_wait(tcp::socket::wait_read, [Watch](const error_code &) {
+    Watch->Seen_ = true;
+    if (Watch->Timer_)
+      Watch->Timer_->cancel();
+  });
+  co_await Timer.async_wait(Token);
+  Watch->Timer_ = nullptr;
+  if (!Watch->Seen_) {
+    Socket_.cancel();
     co_return false;
+  }
   char Byte = 0;
   error_code Error;
   Socket_.non_blocking(true, Error);
--- a/src/StandIns/PlatformServer.cpp
+++ b/src/StandIns/PlatformServer.cpp
@@ -221,7 +221,7 @@
 
   void wakeWatches() {
     for (asio::steady_timer *Timer : Waiters_)
-      Timer->cancel();
+      Timer->expires_at(TimePoint::min());
   }
 
   HttpResponse withIndex(HttpResponse Response, std::uint64_t Index) const {
--- a/src/StandIns/TargetServer.cpp
+++ b/src/StandIns/TargetServer.cpp
@@ -185,7 +185,8 @@
         break;
       }
     }
-    Current->Done_->cancel();
+    // Unlike cancel(), this also ends a wait that begins later.
+    Current->Done_->expires_at(TimePoint::min());
   }
 
   HttpResponse answer(const Run &Current, const UrlQuery &Query, bool Late) {
