--- a/src/StandIns/TargetServer.cpp
+++ b/src/StandIns/TargetServer.cpp
@@ -161,8 +161,11 @@
   /// Calls each service of the chain in turn and stops at the first that does
   /// not answer with 200.
   asio::awaitable<void> callChain(std::shared_ptr<Run> Current) {
-    for (const std::string &Service : Chain_) {
-      HttpRequest Request(http::verb::get, "/", 11);
+    for (const std::string &Link : Chain_) {
+      std::size_t Slash = Link.find('/');
+      std::string Service = Link.substr(0, Slash);
+      std::string Path = Slash == std::string::npos ? "/" : Link.substr(Slash);
+      HttpRequest Request(http::verb::get, Path, 11);
       Request.set(http::field::host, Service);
       Request.set("x-request-id", Current->Id_ + ChainSeparator + Service);
       auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/unittests/StandIns/TargetTest.cpp
+++ b/unittests/StandIns/TargetTest.cpp
@@ -122,7 +122,7 @@
   TargetFixture Next;
   Next.start();
   Settings_.NodeAddress_ = Next.Where_;
-  Settings_.Calls_ = "shelf,shelf";
+  Settings_.Calls_ = "shelf,shelf/guides";
   start();
   CHECK(run("q1").Status_ == 200);
   CHECK(Next.get("/.target/ledger").Body_ ==
