--- a/cmake/MarigoldTargets.cmake
+++ b/cmake/MarigoldTargets.cmake
@@ -15,8 +15,11 @@
   MARIGOLD_VERSION="${PROJECT_VERSION}")
 target_link_libraries(marigoldOptions INTERFACE Threads::Threads)
 if(MARIGOLD_SANITIZE)
+  # With sanitizers g++ 12 reports -Wmaybe-uninitialized falsely for
+  # boost::optional in Boost.Beast's HTTP parser.
   target_compile_options(marigoldOptions INTERFACE
-    -fsanitize=${MARIGOLD_SANITIZE} -fno-omit-frame-pointer -g)
+    -fsanitize=${MARIGOLD_SANITIZE} -fno-omit-frame-pointer -g
+    -Wno-maybe-uninitialized)
   target_link_options(marigoldOptions INTERFACE
     -fsanitize=${MARIGOLD_SANITIZE})
 endif()
