--- a/src/Schema/SettingTypes.h
+++ b/src/Schema/SettingTypes.h
@@ -15,6 +15,8 @@
   /// Port.
   std::uint16_t Port_ = 0;
 
+  // clang-tidy 14 takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const Address &, const Address &) = default;
 };
 
