--- a/programs/marigold-bench/DetectionBench.cpp
+++ b/programs/marigold-bench/DetectionBench.cpp
@@ -3,6 +3,7 @@
 #include "Mesh/InMemoryMesh.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 namespace marigold::bench {
@@ -19,7 +20,7 @@
     return 0;
   std::sort(Samples.begin(), Samples.end());
   auto Last = static_cast<double>(Samples.size() - 1);
-  return Samples[static_cast<std::size_t>(Share * Last + 0.5)];
+  return Samples[static_cast<std::size_t>(std::lround(Share * Last))];
 }
 
 void measure(double Loss, std::uint64_t Seed) {
--- a/programs/marigold-fuzz/DecoderFuzz.cpp
+++ b/programs/marigold-fuzz/DecoderFuzz.cpp
@@ -85,9 +85,9 @@
     if (!Wrong)
       continue;
     ++Failures;
+    unsigned long long FailedSeed = Seed + Run;
     std::printf("fuzz=decode message=%s seed=%llu failure=\"%s\"\n",
-                std::string(messageName(Type)).c_str(),
-                static_cast<unsigned long long>(Seed + Run), Wrong);
+                std::string(messageName(Type)).c_str(), FailedSeed, Wrong);
   }
   std::printf("fuzz=decode message=%s runs=%llu accepted=%zu failures=%zu\n",
               std::string(messageName(Type)).c_str(),
--- a/src/Distribution/Bootstrap.cpp
+++ b/src/Distribution/Bootstrap.cpp
@@ -7,7 +7,7 @@
 
 Bootstrap::Bootstrap(VersionStore &Store, std::vector<HostId> Peers,
                      BootstrapOptions Options, Random Rng, TimePoint Now)
-    : Store_(Store), Options_(Options), Rng_(std::move(Rng)),
+    : Store_(Store), Options_(Options), Rng_(Rng),
       Backoff_(Options.FirstBackoff_, Options.MaxBackoff_), Start_(Now),
       NextAsk_(Now), SourceAt_(Now + Rng_.upTo(Options.RestartSpread_)) {
   for (const HostId &Peer : Peers)
--- a/src/Distribution/PullPlanner.cpp
+++ b/src/Distribution/PullPlanner.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 PullPlanner::PullPlanner(const VersionStore &Store, Random Rng)
-    : Store_(Store), Rng_(std::move(Rng)), Backoff_(FirstBackoff, MaxBackoff) {}
+    : Store_(Store), Rng_(Rng), Backoff_(FirstBackoff, MaxBackoff) {}
 
 void PullPlanner::onSummary(const HostId &Peer, const NodeSummary &Summary,
                             TimePoint) {
--- a/src/Distribution/SourceReader.cpp
+++ b/src/Distribution/SourceReader.cpp
@@ -25,8 +25,7 @@
                            SourceReaderOptions Options, Random Rng,
                            TimePoint Now)
     : Table_(Table), Store_(Store), Confirmation_(Confirmation), Own_(Own),
-      FailureDomain_(std::move(FailureDomain)), Options_(Options),
-      Rng_(std::move(Rng)),
+      FailureDomain_(std::move(FailureDomain)), Options_(Options), Rng_(Rng),
       Backoff_(Options.FirstBackoff_, Options.MaxBackoff_),
       RoleFrom_(Now + Options.RestartSpread_ / 2 +
                 Rng_.upTo(Options.RestartSpread_ / 2)),
--- a/src/Distribution/SpreadPolicy.h
+++ b/src/Distribution/SpreadPolicy.h
@@ -30,7 +30,7 @@
   SpreadPolicy(SpreadProfile Profile, const HostId &Own,
                std::string FailureDomain, Random Rng)
       : Fanout_(fanout(Profile)), Own_(Own),
-        FailureDomain_(std::move(FailureDomain)), Rng_(std::move(Rng)) {}
+        FailureDomain_(std::move(FailureDomain)), Rng_(Rng) {}
 
   /// Receivers of an advert, if Summary has a version or refusal that was not
   /// advertised before; none otherwise. From is the peer that sent the news;
--- a/src/Membership/ProbeScheduler.cpp
+++ b/src/Membership/ProbeScheduler.cpp
@@ -19,7 +19,7 @@
                                ProbeOptions Options, SummaryProvider Summary,
                                Random Rng, TimePoint Now)
     : Table_(Table), Own_(std::move(Own)), Options_(std::move(Options)),
-      Summary_(std::move(Summary)), Rng_(std::move(Rng)),
+      Summary_(std::move(Summary)), Rng_(Rng),
       Suspicions_({Options_.SuspicionTimeout_, Options_.Timeout_ / 2}),
       Updates_(Own_.Id_), LastTick_(Now),
       NextProbe_(Now + Rng_.upTo(Options_.Interval_)),
--- a/src/Membership/TableExchange.h
+++ b/src/Membership/TableExchange.h
@@ -6,7 +6,7 @@
 
 /// Largest body of a HostExchange, with room for its list size below the
 /// 64 KiB of a frame.
-inline constexpr std::size_t MaxExchangeBytes = 60 * 1024;
+inline constexpr std::size_t MaxExchangeBytes = std::size_t(60) * 1024;
 
 /// Adds the bucket digests to a SyncRequest that also compares host tables.
 void addBuckets(const HostTable &Table, SyncRequest &Request);
