Write target requests at once instead of in the background

A response could arrive before the completion of the write was handled; the connection was then closed instead of being reused.

--- a/src/Transport/HttpClientConnection.cpp
+++ b/src/Transport/HttpClientConnection.cpp
@@ -116,20 +116,40 @@
     Message_->content_length(Request.Body_.size());
   startParser();
   armTimer(Request.Deadline_);
+  Serializer_.emplace(*Message_);
+  writeRequest();
+  read();
+}
+
+void HttpClientConnection::writeRequest() {
+  // Written at once as far as the kernel takes it. A write in the background
+  // could complete after the response has arrived, and the connection would be
+  // closed although it can be used again.
+  boost::system::error_code Error;
+  while (!Serializer_->is_done() && !Error)
+    if (http::write_some(Socket_, *Serializer_, Error) != 0)
+      Written_ = true;
+  if (Error == http::error::end_of_stream)
+    Error = {};
+  if (!Error)
+    return;
+  if (Error != asio::error::would_block) {
+    asio::post(Socket_.get_executor(), [Self = shared_from_this(), Error] {
+      Self->end(fail(ErrorCode::ConnectionFailed, Error.message()), true);
+    });
+    return;
+  }
   Writing_ = true;
   // The kernel may take bytes from here on, whatever the write reports.
   Written_ = true;
   http::async_write(
-      Socket_, *Message_,
-      [Self = shared_from_this()](boost::system::error_code Error,
-                                  std::size_t Size) {
+      Socket_, *Serializer_,
+      [Self = shared_from_this()](boost::system::error_code Failed,
+                                  std::size_t) {
         Self->Writing_ = false;
-        if (Self->Closed_ || !Error)
-          return;
-        Self->Written_ = Size != 0;
-        Self->end(fail(ErrorCode::ConnectionFailed, Error.message()), true);
+        if (Failed)
+          Self->end(fail(ErrorCode::ConnectionFailed, Failed.message()), true);
       });
-  read();
 }
 
 void HttpClientConnection::startParser() {
@@ -225,8 +245,6 @@
   Response->Headers_ = endToEndFields(Head);
   Response->Body_ = std::move(Head.body());
   Parser_.reset();
-  if (!Writing_)
-    Message_.reset();
   IdleSince_ = std::chrono::steady_clock::now();
   auto Callback = std::exchange(Done_, nullptr);
   if (!Reusable)
--- a/src/Transport/HttpClientConnection.h
+++ b/src/Transport/HttpClientConnection.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
@@ -60,6 +61,7 @@
   void onConnected(boost::system::error_code Error,
                    const std::function<void(Result<void>)> &Callback);
   boost::system::error_code connectError();
+  void writeRequest();
   void read();
   void onRead(boost::system::error_code Error, std::size_t Size);
   void parse();
@@ -75,6 +77,9 @@
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   std::optional<Message> Message_;
+  std::optional<
+      boost::beast::http::request_serializer<boost::beast::http::string_body>>
+      Serializer_;
   Done Done_;
   bool HeadMethod_ = false;
   bool Writing_ = false;
--- a/src/Transport/PeerStreams.cpp
+++ b/src/Transport/PeerStreams.cpp
@@ -248,8 +248,7 @@
     return success();
   if (!Entry->Start_ || Entry->Body_.size() != Entry->Start_->BodySize_)
     return unexpected("ReplyEnd");
-  PeerReply Reply{std::move(*Entry->Start_), std::move(Entry->Body_),
-                  std::move(Value)};
+  PeerReply Reply{std::move(*Entry->Start_), std::move(Entry->Body_), Value};
   std::uint32_t Stream = Reply.End_.Stream_;
   finishOpened(Stream, std::move(Reply));
   return success();
--- a/unittests/Transport/PeerConnectionTest.cpp
+++ b/unittests/Transport/PeerConnectionTest.cpp
@@ -237,11 +237,11 @@
        }},
   };
   std::int64_t Before = 0;
-  for (const auto &[Name, Act] : Cases) {
-    CAPTURE(Name);
+  for (const auto &Case : Cases) {
+    CAPTURE(Case.first);
     RawPeer Peer = rawClient();
     Peer.expect<Hello>();
-    Act(Peer);
+    Case.second(Peer);
     CHECK(Peer.ends());
     ++Before;
     CHECK(Metrics_.total(Metric::MessagesMalformedTotal) == Before);
