--- a/src/StandIns/LoadReport.cpp
+++ b/src/StandIns/LoadReport.cpp
@@ -46,6 +46,12 @@
 
 AttemptResult judgeThroughNode(const HttpResponse &Response) {
   AttemptResult Result;
+  // The node passes the target's own refusal on as an answer.
+  if (!field(Response, "x-target-shed").empty()) {
+    Result.Outcome_ = Outcome::NotRun;
+    Result.Reason_ = "target-shed";
+    return Result;
+  }
   Result.Reason_ = field(Response, "x-marigold-reason");
   std::string Text = field(Response, "x-marigold-outcome");
   for (Outcome Candidate : {Outcome::Ok, Outcome::NotRun, Outcome::Unknown}) {
--- a/tools/lib/mesh.py
+++ b/tools/lib/mesh.py
@@ -61,7 +61,8 @@
         self.region = region
         self.node = None
         self.target = None
-        self.adopted = []  # (wall-clock seconds, (epoch, revision))
+        # (wall-clock seconds, (epoch, revision)); None for a new process.
+        self.adopted = []
         self.log_offset = 0
         # Not able to adopt before this wall-clock time.
         self.unavailable_until = 0.0
@@ -228,7 +229,8 @@
         """Waits until each host's last adoption has at least this index."""
         def all_adopted():
             self.read_logs()
-            return all(h.adopted and h.adopted[-1][1][1] >= index
+            return all(h.adopted and h.adopted[-1][1] and
+                       h.adopted[-1][1][1] >= index
                        for h in hosts or self.hosts)
         wait_until(all_adopted, seconds, what)
 
@@ -238,7 +240,8 @@
         slowest = 0.0
         for host in self.hosts:
             times = [at for at, version in host.adopted
-                     if version[1] >= index and at >= accepted - 0.01]
+                     if version and version[1] >= index and
+                     at >= accepted - 0.01]
             if not times:
                 return None
             start = max(accepted, host.unavailable_until)
--- a/unittests/StandIns/LoadTest.cpp
+++ b/unittests/StandIns/LoadTest.cpp
@@ -60,6 +60,16 @@
   CHECK(judge().Reason_ == "queue-full");
 }
 
+// Otherwise the short body of a refusal counts as a lost answer.
+TEST_CASE_FIXTURE(AnswerFixture, "refusal by the target itself is not-run") {
+  Exchange_.Response_.result(boost::beast::http::status::service_unavailable);
+  Exchange_.Response_.set("x-target-shed", "true");
+  Exchange_.Response_.body() = "draining\n";
+  CHECK(judge().Outcome_ == Outcome::NotRun);
+  CHECK_FALSE(judge().Lost_);
+  CHECK(judge().Reason_ == "target-shed");
+}
+
 // An answer without the header allows no conclusion.
 TEST_CASE_FIXTURE(AnswerFixture, "missing outcome header is unknown") {
   Exchange_.Response_.erase("x-marigold-outcome");
