Give the nodes of measure.sh fleet a target

Without one a node stays in state starting, and starting hosts do not count when a failure domain chooses its readers, so that every node read the source. The measured part begins after restart-spread.

--- a/tools/lib/measure.py
+++ b/tools/lib/measure.py
@@ -101,10 +101,15 @@
 
 
 def fleet(arguments):
-    settings = {"spread_profile": arguments.profile,
-                "source_mode": arguments.mode}
     domains = min(15, max(2, arguments.nodes // 3))
     with Mesh("fleet") as mesh:
+        # One target for all nodes: a node without a target stays in state
+        # starting, and starting hosts do not count in the choice of readers.
+        target = f"{mesh.subnet}.250.251:{TARGET_PORT}"
+        settings = {"spread_profile": arguments.profile,
+                    "source_mode": arguments.mode, "target_address": target}
+        mesh.spawn("marigold-target",
+                   {"address": target, "connections": 100000}, "target.log")
         for number in range(arguments.nodes):
             domain = number % domains
             mesh.add_host(f"service-{number % arguments.services}",
@@ -118,8 +123,9 @@
             time.sleep(0.005)
         mesh.wait_adopted(index, 120, "first text on every node")
         start_s = time.monotonic() - started
-        # The start-up exchange of host tables is not part of the figures.
-        time.sleep(5)
+        # The start-up is not part of the figures: the first reads of the
+        # source are spread over restart-spread, 10 s.
+        time.sleep(15)
         before = FleetSample(mesh)
         changes, resume, peak_calls = [], None, 0.0
         for change in range(1, arguments.changes + 1):
