Count starting nodes among the readers of the source

Cause: with all targets down every node is starting and none counted but itself, so each node of 60 watched the source (60 waiting watches; 30 with targets up). Change: a starting host counts unless only the host list names it. The new test has eight starting nodes of one failure domain: two read.

--- a/src/Distribution/ReaderRanking.cpp
+++ b/src/Distribution/ReaderRanking.cpp
@@ -18,6 +18,20 @@
     Hosts[I] = Ranked[I].second;
 }
 
+/// A node whose target is down is starting and reads all the same; a host that
+/// only the host list names has no incarnation and may have no node yet.
+bool canRead(const HostRecord &Record) {
+  switch (Record.State_) {
+  case HostState::Ready:
+  case HostState::Draining:
+    return true;
+  case HostState::Starting:
+    return Record.Incarnation_ != 0;
+  default:
+    return false;
+  }
+}
+
 } // namespace
 
 std::vector<HostId> readersOf(const membership::HostTable &Table,
@@ -25,8 +39,7 @@
                               std::size_t Count) {
   std::vector<HostId> Hosts;
   for (const HostId &Id : Table.hostsOfFailureDomain(FailureDomain)) {
-    HostState State = Table.find(Id)->Record_.State_;
-    if (Id == Own || State == HostState::Ready || State == HostState::Draining)
+    if (Id == Own || canRead(Table.find(Id)->Record_))
       Hosts.push_back(Id);
   }
   sortByHash(Hosts, ReaderSeed);
--- a/src/Distribution/ReaderRanking.h
+++ b/src/Distribution/ReaderRanking.h
@@ -6,10 +6,10 @@
 
 namespace marigold::distribution {
 
-/// Hosts of a failure domain that read the source: those that are ready or
-/// draining, ranked by rendezvous hash, at most Count. Hosts that are only
-/// listed or still starting do not read; Own counts even then, so that the
-/// first node of a domain reads.
+/// Hosts of a failure domain that read the source: those that are starting,
+/// ready or draining, ranked by rendezvous hash, at most Count. Hosts that are
+/// only listed do not read; Own counts in any state, so that the first node of
+/// a domain reads.
 std::vector<HostId> readersOf(const membership::HostTable &Table,
                               std::string_view FailureDomain, const HostId &Own,
                               std::size_t Count);
--- a/unittests/Distribution/SourceReaderTest.cpp
+++ b/unittests/Distribution/SourceReaderTest.cpp
@@ -111,6 +111,31 @@
   CHECK_FALSE(Table_.hostsOfFailureDomain("quito").empty());
 }
 
+// With all targets down every node is starting; if those did not count, each
+// node would take itself for a reader and watch the source.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "readers of nodes that are all starting stay few") {
+  membership::HostTable Starting;
+  for (std::uint32_t Number = 1; Number <= 9; ++Number) {
+    HostRecord Record;
+    Record.Id_ = {Number, 7400};
+    Record.Incarnation_ = Number < 9 ? 5 : 0;
+    Record.FailureDomain_ = "quito";
+    Starting.apply(Record, Now_);
+  }
+  std::vector<HostId> Readers = readersOf(Starting, "quito", {1, 7400}, 2);
+  std::size_t ReadingNodes = 0;
+  for (std::uint32_t Number = 1; Number <= 8; ++Number) {
+    HostId Own{Number, 7400};
+    Readers = readersOf(Starting, "quito", Own, 2);
+    ReadingNodes += static_cast<std::size_t>(
+        std::count(Readers.begin(), Readers.end(), Own));
+    // The ninth host is only listed.
+    CHECK(std::count(Readers.begin(), Readers.end(), HostId{9, 7400}) == 0);
+  }
+  CHECK(ReadingNodes == 2);
+}
+
 // Readers fetch one after the other, each version in another order.
 TEST_CASE_FIXTURE(SourceReaderFixture, "fetches are 150 ms apart") {
   for (std::uint64_t Index : {7, 8}) {
