Decode lists of structures element by element

Cause: cereal resizes a list to the size that the message claims; a frame of 2 MiB could claim 2 million services. Ruled out: the check of the size against the remaining bytes, which bounds the count but not the bytes per element. Change: elements are added as they are read. The new test claims 100,000 elements and sees one created.

--- a/src/Support/Archive.h
+++ b/src/Support/Archive.h
@@ -168,6 +168,18 @@
   Ar.loadBinary(Data.data, static_cast<std::size_t>(Data.size));
 }
 
+/// Reads a list of structures. Elements are added one by one, so that a large
+/// size in a corrupt message cannot make the reader allocate for elements that
+/// the message does not hold; cereal would create all of them first.
+template <class T, class Allocator>
+requires(!std::is_arithmetic_v<T>) void CEREAL_LOAD_FUNCTION_NAME(
+    WireInput &Ar, std::vector<T, Allocator> &List) {
+  std::uint64_t Size = Ar.loadSize();
+  List.clear();
+  for (std::uint64_t Index = 0; Index < Size; ++Index)
+    Ar(List.emplace_back());
+}
+
 /// Encodes a structure without its type byte.
 template <class T> std::string encodeBody(const T &Value) {
   std::string Buffer;
--- a/unittests/Support/ArchiveTest.cpp
+++ b/unittests/Support/ArchiveTest.cpp
@@ -26,6 +26,14 @@
              {{Record_, {}}}};
 };
 
+/// Counts the elements that decoding creates.
+struct CountedElement {
+  static inline std::size_t Created_ = 0;
+  std::uint64_t Value_ = 0;
+  CountedElement() { ++Created_; }
+  template <class Archive> void serialize(Archive &Ar) { Ar(Value_); }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(ArchiveFixture, "archive of a ping returns the same ping") {
@@ -73,4 +81,16 @@
   CHECK_FALSE(decodeBody<std::uint16_t>(encodeBody(Largest)));
 }
 
+// A list of structures may claim as many elements as the message has bytes;
+// creating them all first would take hundreds of times the message's size.
+TEST_CASE("archive of a list that breaks off creates no further elements") {
+  std::string Body;
+  WireOutput Ar(Body);
+  Ar.saveVarint(100'000);
+  Body.append(100'000, '\xff');
+  CountedElement::Created_ = 0;
+  CHECK_FALSE(decodeBody<std::vector<CountedElement>>(Body));
+  CHECK(CountedElement::Created_ == 1);
+}
+
 } // namespace marigold
