Synchronize over connections of their own and probe lost peers at once

A lost connection now starts a probe with suspicion instead of a question without consequence, and seeds are asked again by nodes that do not know them. Log events have one form of name.

--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -24,6 +24,8 @@
   Options.Interval_ = Settings.ProbeInterval_;
   Options.Timeout_ = Settings.ProbeTimeout_;
   Options.SuspicionTimeout_ = Settings.SuspicionTimeout_;
+  for (const Address &Seed : Settings.Seeds_)
+    Options.Seeds_.push_back(toHostId(Seed));
   return Options;
 }
 
@@ -533,7 +535,7 @@
   if (Now < NextFailureProbe_)
     return;
   NextFailureProbe_ = Now + FailureProbeSpacing;
-  apply(Probes_.ask(Peer, Now), Now, Out);
+  apply(Probes_.check(Peer, Now), Now, Out);
 }
 
 void ControlCore::sendCrashNotice(const CrashNotice &Notice,
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -67,10 +67,9 @@
 ControlPlane::~ControlPlane() = default;
 
 void ControlPlane::attach(
-    transport::PeerConnectionPool &Pool, transport::PeerServer &Server,
+    ControlConnections Connections,
     std::function<void(const CrashNotice &)> OnCrashNotice) {
-  Pool_ = &Pool;
-  Server_ = &Server;
+  Connections_.emplace(Connections);
   OnCrashNotice_ = std::move(OnCrashNotice);
 }
 
@@ -123,9 +122,9 @@
     countSent(Datagram.Kind_, Datagram.Data_.size() + DatagramOverhead);
   }
   for (const HostId &Peer : Effects.Drops_)
-    Pool_->drop(Peer);
+    Connections_->Calls_.drop(Peer);
   for (const HostStateNotice &Notice : Effects.Broadcasts_)
-    countSent(ControlTraffic::Notice, Server_->broadcast(Notice));
+    countSent(ControlTraffic::Notice, Connections_->Server_.broadcast(Notice));
   for (const OutgoingSync &Sync : Effects.Syncs_)
     sendSync(Sync);
   for (const auto &Action : Effects.Source_)
@@ -175,25 +174,26 @@
 
 void ControlPlane::sendSync(const OutgoingSync &Sync) {
   HostId Peer = Sync.To_;
-  Pool_->get(Peer, [this, Peer, Request = Sync.Request_](
-                       Result<transport::PeerConnectionPtr> Connection) {
-    if (Stopped_)
-      return;
-    std::size_t Sent = 0;
-    Failure Why = fail(ErrorCode::ConnectionFailed, toText(Peer));
-    if (Connection)
-      Sent = Connection.value()->send(Request);
-    else
-      Why = Connection.error();
-    if (Sent != 0) {
-      countSent(ControlTraffic::Sync, Sent + FrameOverhead);
-      return;
-    }
-    // The pool may answer within the call that asks, under no lock of ours.
-    decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
-      Core.onSyncFailed(Peer, Why, Now, Out);
-    });
-  });
+  Connections_->Sync_.get(
+      Peer, [this, Peer, Request = Sync.Request_](
+                Result<transport::PeerConnectionPtr> Connection) {
+        if (Stopped_)
+          return;
+        std::size_t Sent = 0;
+        Failure Why = fail(ErrorCode::ConnectionFailed, toText(Peer));
+        if (Connection)
+          Sent = Connection.value()->send(Request);
+        else
+          Why = Connection.error();
+        if (Sent != 0) {
+          countSent(ControlTraffic::Sync, Sent + FrameOverhead);
+          return;
+        }
+        // The pool may answer within the call that asks, under no lock of ours.
+        decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+          Core.onSyncFailed(Peer, Why, Now, Out);
+        });
+      });
 }
 
 void ControlPlane::callSource(const distribution::SourceAction &Action) {
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -25,6 +25,17 @@
   const NodeSettings &Settings_;
 };
 
+/// Peer connections of a node. All must outlive the control plane's last
+/// callback.
+struct ControlConnections {
+  /// Connections for calls; those to dead hosts are dropped.
+  transport::PeerConnectionPool &Calls_;
+  /// Connections for synchronization.
+  transport::PeerConnectionPool &Sync_;
+  /// Connections that other nodes opened.
+  transport::PeerServer &Server_;
+};
+
 /// Runs ControlCore: owns the control shard with its lock, the UDP socket,
 /// the timer and the client of the source, and gives the request path what it
 /// needs. Decisions are made under the lock, their effects carried out
@@ -40,9 +51,8 @@
   ControlPlane &operator=(const ControlPlane &) = delete;
 
   /// Names the peer connections and the receiver of crash notices. Call once
-  /// before start; all must outlive the control plane's last callback.
-  void attach(transport::PeerConnectionPool &Pool,
-              transport::PeerServer &Server,
+  /// before start.
+  void attach(ControlConnections Connections,
               std::function<void(const CrashNotice &)> OnCrashNotice);
 
   /// Opens the socket and starts the timer. Fails with ConnectionFailed.
@@ -109,8 +119,7 @@
   SourceClient Source_;
   boost::asio::steady_timer Timer_;
   TimePoint NextGauges_;
-  transport::PeerConnectionPool *Pool_ = nullptr;
-  transport::PeerServer *Server_ = nullptr;
+  std::optional<ControlConnections> Connections_;
   std::function<void(const CrashNotice &)> OnCrashNotice_;
 };
 
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -22,7 +22,8 @@
 namespace {
 
 /// Time for the last notices and answers to leave before the process ends.
-constexpr Duration FarewellTime = std::chrono::milliseconds(200);
+constexpr Duration ExitDelay = std::chrono::milliseconds(200);
+constexpr Duration SyncIdle = std::chrono::seconds(5);
 
 HostRecord ownRecord(const NodeSettings &Settings) {
   auto Wall = std::chrono::system_clock::now().time_since_epoch();
@@ -64,6 +65,7 @@
         Dispatcher_(Target_, Control_),
         Server_(Io_, Dispatcher_, peerOptions()),
         Pool_(Io_, Dispatcher_, peerOptions(), Seeds_.next()),
+        SyncPool_(Io_, Dispatcher_, syncOptions(), Seeds_.next()),
         Caller_({Io_, Control_, Pool_,
                  Settings_.Service_.empty() ? nullptr : &Target_, Metrics_,
                  Settings_},
@@ -71,9 +73,9 @@
         Admin_(Io_, Metrics_) {}
 
   Result<void> start() {
-    Control_.attach(Pool_, Server_, [this](const CrashNotice &Notice) {
-      Target_.onCrashNotice(Notice);
-    });
+    Control_.attach(
+        {Pool_, SyncPool_, Server_},
+        [this](const CrashNotice &Notice) { Target_.onCrashNotice(Notice); });
     Admin_.setStatus(
         [this](bool WithHosts) { return Control_.statusJson(WithHosts); });
     Admin_.setDrain([this] { drain("request"); });
@@ -110,6 +112,14 @@
     return Options;
   }
 
+  /// Peers for synchronization are random, so their connections are seldom
+  /// used again.
+  transport::PeerOptions syncOptions() {
+    transport::PeerOptions Options = peerOptions();
+    Options.Limits_.Idle_ = SyncIdle;
+    return Options;
+  }
+
   void waitForSignal() {
     Signals_.add(SIGTERM);
     Signals_.add(SIGINT);
@@ -129,8 +139,7 @@
   void drain(const char *Reason) {
     if (DrainStarted_.exchange(true))
       return;
-    logEvent(LogLevel::Info, "drain_started", {{"reason", Reason}});
-    Control_.ownStateChanged(HostState::Draining);
+    logEvent(LogLevel::Info, "exit_requested", {{"reason", Reason}});
     Caller_.drain();
     Target_.drain([this] { boost::asio::post(Io_, [this] { targetDone(); }); });
     DrainTimer_.expires_after(Settings_.DrainLimit_);
@@ -148,7 +157,7 @@
       finish();
       return;
     }
-    PollTimer_.expires_after(FarewellTime);
+    PollTimer_.expires_after(ExitDelay);
     PollTimer_.async_wait([this](const boost::system::error_code &Error) {
       if (!Error)
         targetDone();
@@ -158,10 +167,10 @@
   void finish() {
     if (Finished_.exchange(true))
       return;
-    logEvent(LogLevel::Info, "drain_finished");
+    logEvent(LogLevel::Info, "node_exits");
     DrainTimer_.cancel();
     Control_.stop(true);
-    PollTimer_.expires_after(FarewellTime);
+    PollTimer_.expires_after(ExitDelay);
     PollTimer_.async_wait(
         [this](const boost::system::error_code &) { Io_.stop(); });
   }
@@ -179,6 +188,8 @@
   PeerDispatcher Dispatcher_;
   transport::PeerServer Server_;
   transport::PeerConnectionPool Pool_;
+  // A snapshot is one frame of up to 2 MiB; calls must not wait behind it.
+  transport::PeerConnectionPool SyncPool_;
   CallerSide Caller_;
   AdminServer Admin_;
   std::atomic<bool> DrainStarted_{false};
--- a/src/Node/TargetHealth.cpp
+++ b/src/Node/TargetHealth.cpp
@@ -108,7 +108,7 @@
     Admission_.Control_.targetUp();
     Draining = Admission_.Control_.draining();
   }
-  logEvent(LogLevel::Info, "target-up");
+  logEvent(LogLevel::Info, "target_up");
   if (!Draining)
     Parts_.Environment_.ownStateChanged(HostState::Ready);
 }
@@ -130,7 +130,7 @@
     return;
   apply(Actions);
   Pool_.closeIdle();
-  logEvent(LogLevel::Warning, "target-down");
+  logEvent(LogLevel::Warning, "target_down");
   if (!Draining)
     Parts_.Environment_.ownStateChanged(HostState::Starting);
 }
@@ -186,7 +186,7 @@
     return;
   Notice.Service_ = Parts_.Settings_.Service_;
   Parts_.Metrics_.add(Metric::TargetCrashesTotal);
-  logEvent(LogLevel::Warning, "target-crashed",
+  logEvent(LogLevel::Warning, "target_crashed",
            {{"in_progress", std::to_string(Notice.Fingerprints_.size())}});
   {
     std::lock_guard Lock(Keys_.Mutex_);
@@ -224,7 +224,7 @@
     Done();
   if (!Began)
     return;
-  logEvent(LogLevel::Info, "drain-started");
+  logEvent(LogLevel::Info, "drain_started");
   apply(Actions);
   Parts_.Environment_.ownStateChanged(HostState::Draining);
   updateDrain();
@@ -252,7 +252,7 @@
   }
   if (Finished.empty())
     return;
-  logEvent(LogLevel::Info, "drain-finished", {{"cut", std::to_string(Cut)}});
+  logEvent(LogLevel::Info, "drain_finished", {{"cut", std::to_string(Cut)}});
   for (auto &Done : Finished)
     Done();
 }
