--- /dev/null
+++ b/tools/renew-golden.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Writes the transcripts of the golden sessions anew and shows the difference.
+# Read it before you commit it. Usage: renew-golden.sh
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+"$root/tools/build.sh" "$root/build"
+MARIGOLD_RENEW_GOLDEN=1 "$root/build/unittests/Control/ControlTests" \
+  --test-case='session of*'
+git -C "$root" diff -- unittests/Control/golden
--- a/unittests/Control/ControlHarness.cpp
+++ b/unittests/Control/ControlHarness.cpp
@@ -82,8 +82,35 @@
   return Side_.contains(Left) == Side_.contains(Right);
 }
 
+void ControlHarness::note(const std::string &Line) {
+  auto Elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now_ - TimePoint(std::chrono::hours(1)));
+  Transcript_ += std::to_string(Elapsed.count()) + " ms " + Line + "\n";
+}
+
+void ControlHarness::record(unsigned Number, const ControlEffects &Effects) {
+  std::string Who = "node " + std::to_string(Number) + ": ";
+  for (const auto &Event : Effects.Adopted_)
+    note(Who + "adopted " + toText(Event.Version_));
+  for (const auto &Event : Effects.Refused_)
+    note(Who + "refused " + toText(Event.Version_) + " " +
+         std::string(errorText(Event.Why_.Code_)));
+  for (bool SourceOnly : Effects.BootstrapDone_)
+    note(Who + "ready" + (SourceOnly ? ", from the source only" : ""));
+  for (const auto &Event : Effects.Hosts_)
+    note(Who + "sees " + toText(Event.Record_.Id_) + " " +
+         std::string(toText(Event.Record_.State_)));
+  for (Duration Pause : Effects.Pauses_)
+    note(Who + "was paused for " +
+         std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(Pause)
+                 .count()) +
+         " ms");
+}
+
 void ControlHarness::carryOut(unsigned Number, ControlEffects Effects) {
   Node &From = Nodes_.at(Number);
+  record(Number, Effects);
   for (const auto &Event : Effects.Adopted_)
     From.Adopted_.push_back(Event.Version_);
   From.Refused_.insert(From.Refused_.end(), Effects.Refused_.begin(),
--- a/unittests/Control/ControlHarness.h
+++ b/unittests/Control/ControlHarness.h
@@ -62,6 +62,13 @@
     Nodes_.at(Number).Up_ = !Paused;
   }
 
+  /// Writes a line of the session's transcript.
+  void note(const std::string &Line);
+
+  /// Everything that nodes reported, one line each with the time since the
+  /// start.
+  const std::string &transcript() const { return Transcript_; }
+
   Node &node(unsigned Number) { return Nodes_.at(Number); }
   FakeSource &source() { return Source_; }
   TimePoint now() const { return Now_; }
@@ -78,6 +85,7 @@
   };
 
   HostRecord recordOf(unsigned Number, const std::string &FailureDomain);
+  void record(unsigned Number, const ControlEffects &Effects);
   void carryOut(unsigned Number, ControlEffects Effects);
   void callSource(unsigned Number, const distribution::SourceAction &Action);
   void deliver();
@@ -92,6 +100,7 @@
   std::map<unsigned, std::vector<std::pair<std::uint64_t, TimePoint>>> Watches_;
   std::set<unsigned> Side_;
   FakeSource Source_;
+  std::string Transcript_;
 };
 
 } // namespace marigold::node
