--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -419,29 +419,22 @@
 // Ends without an answer.
 
 void CallerCall::onDeadline() {
-  ErrorCode Code = ErrorCode::DeadlineExceeded;
-  {
-    std::lock_guard Lock(Mutex_);
-    if (Ended_)
-      return;
-    if (HandedOver_)
-      Tracker_.sentFirstByte();
-    Tracker_.deadlinePassed();
-    Code = Tracker_.verdict().Reason_.value_or(Code);
-  }
-  cancelAttempt();
-  finishWithError(Code);
+  endEarly(&calls::OutcomeTracker::deadlinePassed, ErrorCode::DeadlineExceeded);
 }
 
 void CallerCall::onDisconnect() {
-  ErrorCode Code = ErrorCode::Cancelled;
+  endEarly(&calls::OutcomeTracker::cancelled, ErrorCode::Cancelled);
+}
+
+void CallerCall::endEarly(void (calls::OutcomeTracker::*Event)(),
+                          ErrorCode Code) {
   {
     std::lock_guard Lock(Mutex_);
     if (Ended_)
       return;
     if (HandedOver_)
       Tracker_.sentFirstByte();
-    Tracker_.cancelled();
+    (Tracker_.*Event)();
     Code = Tracker_.verdict().Reason_.value_or(Code);
   }
   cancelAttempt();
--- a/src/Node/CallerCall.h
+++ b/src/Node/CallerCall.h
@@ -72,6 +72,7 @@
   void onAttemptFailed(unsigned Attempt);
   void onDeadline();
   void onDisconnect();
+  void endEarly(void (calls::OutcomeTracker::*Event)(), ErrorCode Code);
 
   /// Reports the end of an attempt to the pool, once: the events of one
   /// attempt may come from several threads, and a pool counts each call out
