--- a/unittests/Burn/BurnTest.cpp
+++ b/unittests/Burn/BurnTest.cpp
@@ -65,7 +65,7 @@
 TEST_CASE_FIXTURE(BurnFixture, "burn of slow answers spends latency budget") {
   scrape(0, 0, 0);
   scrape(0, 0, 100, 20);
-  const ServiceBurn &Service = report().Services_[0];
+  ServiceBurn Service = report().Services_[0];
   CHECK(Service.Fast_.LatencyRate_.value() == doctest::Approx(2));
   CHECK(Service.BudgetLeft_.value() == doctest::Approx(-1));
 }
@@ -94,7 +94,7 @@
 TEST_CASE_FIXTURE(BurnFixture, "burn after a counter reset counts from zero") {
   scrape(1000, 50, 0);
   scrape(90, 10, 0);
-  const ServiceBurn &Service = report().Services_[0];
+  ServiceBurn Service = report().Services_[0];
   CHECK(Service.Fast_.Counts_.Calls_ == doctest::Approx(100));
   CHECK(Service.Fast_.Counts_.Failed_ == doctest::Approx(10));
 }
@@ -105,7 +105,7 @@
   Now_ += 10 * Minute_;
   scrape(100, 100, 0);
   scrape(200, 100, 0);
-  const ServiceBurn &Service = report().Services_[0];
+  ServiceBurn Service = report().Services_[0];
   CHECK(Service.Fast_.AvailabilityRate_.value() == doctest::Approx(0));
   CHECK(Service.Slow_.AvailabilityRate_.value() > 1);
 }
