--- a/tools/lib/mesh.py
+++ b/tools/lib/mesh.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import http.client as http_client
 import json
 import os
 import pathlib
@@ -29,12 +30,23 @@
     """A step of an experiment did not reach its end in time."""
 
 
-def http(method, url, body=None, timeout=5):
-    """Returns the body of an answer with status 2xx, as text."""
+def http(method, url, body=None, timeout=5, attempts=5):
+    """Returns the body of an answer with status 2xx, as text.
+
+    All control calls of the bench may be repeated. A target at its limit of
+    connections closes further ones, so that a closed connection is no failure.
+    """
     data = body.encode() if body is not None else None
     request = urllib.request.Request(url, data=data, method=method)
-    with urllib.request.urlopen(request, timeout=timeout) as answer:
-        return answer.read().decode()
+    for attempt in range(attempts):
+        try:
+            with urllib.request.urlopen(request, timeout=timeout) as answer:
+                return answer.read().decode()
+        except (ConnectionResetError, http_client.RemoteDisconnected):
+            if attempt == attempts - 1:
+                raise StepFailed(f"{method} {url}: connection lost") from None
+            time.sleep(0.2)
+    raise AssertionError("unreachable")
 
 
 def wait_until(condition, seconds, what, pause=0.1):
