Spread the pulls of starting nodes and shrink idle read buffers

Ruled out: the host table, 278 bytes per host. All starting nodes pulled from the holder with the lowest address, which then had a connection with a read buffer of 64 KiB for each. Change: a random holder of the highest version; read buffers start at 16 KiB.

--- a/src/Distribution/Bootstrap.cpp
+++ b/src/Distribution/Bootstrap.cpp
@@ -102,17 +102,23 @@
   return Highest;
 }
 
-std::optional<HostId> Bootstrap::pullCandidate(TimePoint Now) const {
-  std::optional<HostId> Best;
+std::optional<HostId> Bootstrap::pullCandidate(TimePoint Now) {
+  std::vector<HostId> Holders;
   ConfigVersion Highest = Store_.version();
   for (const auto &[Id, State] : Peers_) {
     if (!isReachable(State, Now) || State.PullFailed_ ||
-        State.Version_ <= Highest)
+        State.Version_ <= Store_.version() || State.Version_ < Highest)
       continue;
-    Best = Id;
+    if (Highest < State.Version_)
+      Holders.clear();
     Highest = State.Version_;
+    Holders.push_back(Id);
   }
-  return Best;
+  // A random holder: all nodes that start at once would otherwise pull from
+  // the same one.
+  if (Holders.empty())
+    return std::nullopt;
+  return Holders[Rng_.below(Holders.size())];
 }
 
 bool Bootstrap::adoptFromSource(TimePoint Now) {
--- a/src/Distribution/Bootstrap.h
+++ b/src/Distribution/Bootstrap.h
@@ -110,7 +110,7 @@
   bool enoughAnswers() const;
   bool isReachable(const PeerState &Peer, TimePoint Now) const;
   ConfigVersion highestOfPeers(TimePoint Now) const;
-  std::optional<HostId> pullCandidate(TimePoint Now) const;
+  std::optional<HostId> pullCandidate(TimePoint Now);
   bool adoptFromSource(TimePoint Now);
   void askPeers(TimePoint Now, BootstrapActions &Out);
   std::vector<HostId> peersToAsk();
--- a/src/Transport/PeerLink.cpp
+++ b/src/Transport/PeerLink.cpp
@@ -21,7 +21,7 @@
 // and its type.
 constexpr std::size_t LengthSize = 4;
 constexpr std::size_t FrameHead = LengthSize + 1;
-constexpr std::size_t ReadSize = std::size_t{64} * 1024;
+constexpr std::size_t ReadSize = std::size_t{16} * 1024;
 // Bytes of one write. Larger batches save system calls but let a control
 // frame wait longer behind data.
 constexpr std::size_t BatchLimit = std::size_t{64} * 1024;
--- a/unittests/Distribution/BootstrapTest.cpp
+++ b/unittests/Distribution/BootstrapTest.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace marigold::distribution {
 
@@ -51,6 +52,26 @@
 
 } // namespace
 
+// Guards against a herd of starting nodes that all pull from one holder.
+TEST_CASE_FIXTURE(BootstrapFixture,
+                  "bootstrap pulls from any holder of the highest version") {
+  std::set<HostId> Chosen;
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    Bootstrap Starting(Store_, {peer(1), peer(2), peer(3), peer(4)}, {},
+                       Random(Seed), Start_);
+    for (std::uint32_t Number = 1; Number <= 4; ++Number) {
+      NodeSummary Summary;
+      Summary.Version_ = {1, Number == 4 ? 6U : 7U};
+      Starting.onSummary(peer(Number), Number < 3 ? "quito" : "ambato", Summary,
+                         Now_);
+    }
+    auto Pull = find<PullVersion>(Starting.tick(Now_));
+    REQUIRE(Pull);
+    Chosen.insert(Pull->Peer_);
+  }
+  CHECK(Chosen == std::set<HostId>{peer(1), peer(2), peer(3)});
+}
+
 // Guards against questions that grow with the square of the fleet when all
 // nodes start at once.
 TEST_CASE_FIXTURE(BootstrapFixture,
