--- a/tools/lib/mesh.py
+++ b/tools/lib/mesh.py
@@ -187,7 +187,10 @@
         arguments = {"address": f"{host.ip}:{TARGET_PORT}",
                      "service": host.service,
                      "node-address": f"{host.ip}:{CALLER_PORT}",
-                     "ledger": self.ledger(host)}
+                     "ledger": self.ledger(host),
+                     # The texts of the bench allow a node 100 connections; the
+                     # rest is for the bench's own reads of counters.
+                     "connections": 200}
         arguments.update({k.replace("_", "-"): v for k, v in settings.items()})
         host.target = self.spawn("marigold-target", arguments,
                                  f"target-{host.ip}.log")
