--- a/tools/lib/mesh.py
+++ b/tools/lib/mesh.py
@@ -13,6 +13,7 @@
 import re
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -63,6 +64,21 @@
     return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
 
 
+def reserve_subnet(wanted=None):
+    """Takes a loopback subnet that no other run uses, by binding a port in it
+    for as long as the returned socket lives. Two runs in one subnet would take
+    each other's ports."""
+    for number in range(90):
+        subnet = wanted or f"127.{32 + (os.getpid() + number) % 90}"
+        holder = socket.socket()
+        try:
+            holder.bind((f"{subnet}.250.251", 8499))
+            return holder, subnet
+        except OSError:
+            holder.close()
+    raise StepFailed("no free loopback subnet")
+
+
 class Host:
     """One host: a node and, with a service, a target."""
 
@@ -95,8 +111,7 @@
     """A platform and hosts under one temporary folder."""
 
     def __init__(self, name, subnet=None):
-        # A subnet for each run, so that two runs at once do not collide.
-        self.subnet = subnet or f"127.{32 + os.getpid() % 90}"
+        self.reservation, self.subnet = reserve_subnet(subnet)
         self.name = name
         self.hosts = []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="marigold-"))
