--- a/cmake/MarigoldTargets.cmake
+++ b/cmake/MarigoldTargets.cmake
@@ -58,6 +58,8 @@
     doctest::doctest ${ARG_DEPENDS})
   target_compile_definitions(${Name}Tests PRIVATE
     MARIGOLD_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+  # The timeout only ends a test that hangs: the seeded orders of the mesh take
+  # 92 s under the thread sanitizer on a busy machine.
   doctest_discover_tests(${Name}Tests TEST_PREFIX "${Name}: "
-    PROPERTIES TIMEOUT 120)
+    PROPERTIES TIMEOUT 900)
 endfunction()
