Check a call at the target's node in one place

The early refusal, before the body, and the check after it repeated service, readiness, route and body size.

--- a/src/Node/TargetSide.cpp
+++ b/src/Node/TargetSide.cpp
@@ -64,19 +64,29 @@
   // A keyed request is decided by the key table first, which needs its body.
   if (!Start.Key_.empty())
     return std::nullopt;
-  if (Start.Service_ != Parts_.Settings_.Service_)
-    return ErrorCode::WrongService;
   auto Current = Parts_.Environment_.snapshot();
-  if (!Current || Parts_.Environment_.gate() != CallGate::Open)
-    return ErrorCode::NotReady;
-  auto Route = Current->matchRoute(Start.Service_, Start.Method_, Start.Path_);
+  auto Route = allowedRoute(Start, Current.get());
   if (!Route)
     return Route.error().Code_;
-  if (Start.BodySize_ > Route.value()->MaxBody_)
-    return ErrorCode::BodyTooLarge;
   return std::nullopt;
 }
 
+Result<const RouteConfig *>
+TargetSide::Impl::allowedRoute(const CallStart &Start,
+                               const config::Snapshot *Current) const {
+  if (Parts_.Settings_.Service_.empty() ||
+      Start.Service_ != Parts_.Settings_.Service_)
+    return fail(ErrorCode::WrongService);
+  if (!Current || Parts_.Environment_.gate() != CallGate::Open)
+    return fail(ErrorCode::NotReady);
+  BOOST_OUTCOME_TRY(
+      auto Route,
+      Current->matchRoute(Start.Service_, Start.Method_, Start.Path_));
+  if (Start.BodySize_ > Route->MaxBody_)
+    return fail(ErrorCode::BodyTooLarge);
+  return Route;
+}
+
 void TargetSide::Impl::startAdmission(const ServiceConfig &Service,
                                       TimePoint Now) {
   // Replaces the placeholder, which has seen no request yet: an adaptive limit
@@ -120,17 +130,10 @@
 std::optional<ErrorCode> TargetSide::Impl::check(TargetRun &Run,
                                                  TimePoint Now) {
   const CallStart &Start = Run.Start_;
-  if (Parts_.Settings_.Service_.empty() ||
-      Start.Service_ != Parts_.Settings_.Service_)
-    return ErrorCode::WrongService;
   auto Current = Parts_.Environment_.snapshot();
-  if (!Current || Parts_.Environment_.gate() != CallGate::Open)
-    return ErrorCode::NotReady;
-  auto Route = Current->matchRoute(Start.Service_, Start.Method_, Start.Path_);
+  auto Route = allowedRoute(Start, Current.get());
   if (!Route)
     return Route.error().Code_;
-  if (Start.BodySize_ > Route.value()->MaxBody_)
-    return ErrorCode::BodyTooLarge;
   if (Start.Depth_ > Parts_.Settings_.MaxDepth_)
     return ErrorCode::DepthExceeded;
   configure(*Current, Now);
--- a/src/Node/TargetSideImpl.h
+++ b/src/Node/TargetSideImpl.h
@@ -126,6 +126,10 @@
 private:
   void configure(const config::Snapshot &Current, TimePoint Now);
   void startAdmission(const ServiceConfig &Service, TimePoint Now);
+  /// The route of a call that this node may run, valid as long as Current.
+  /// Fails with WrongService, NotReady, BodyTooLarge or an error of the route.
+  Result<const RouteConfig *>
+  allowedRoute(const CallStart &Start, const config::Snapshot *Current) const;
   std::optional<ErrorCode> check(TargetRun &Run, TimePoint Now);
   bool claimKey(const TargetRunPtr &Run, TimePoint Now);
   std::optional<ErrorCode> admit(const TargetRunPtr &Run, TimePoint Now);
