--- a/unittests/TestSupport/NetworkFixture.h
+++ b/unittests/TestSupport/NetworkFixture.h
@@ -92,9 +92,6 @@
   /// Everything until the peer closes.
   std::string receiveAll();
 
-  /// Closes the connection with a reset.
-  void reset();
-
   /// Whether the peer has closed or reset the connection, as the last receive
   /// found it; false when that only met TestGuard.
   bool ended() const { return Ended_; }
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -178,7 +178,7 @@
   RawConnection Second = Listener_.accept();
   Second.receiveHttp();
   Second.send(Unframed);
-  Second.reset();
+  Second.close(true);
   auto Failed = failureOf(Got);
   REQUIRE(Failed);
   CHECK(Failed->Written_);
