--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -7,6 +7,8 @@
 
 /// Reciprocal of the weight of a new latency in the estimates.
 constexpr int Smoothing = 16;
+/// The queue that is allowed whatever its wait is this part of the limit.
+constexpr std::uint32_t ShortQueue = 4;
 
 std::size_t indexOf(Priority Value) { return static_cast<std::size_t>(Value); }
 
@@ -29,7 +31,7 @@
     return {Admission::Run, {}, std::nullopt};
   }
   if (waitIsTooLong(Ticket, Now))
-    return {Admission::Refuse, ErrorCode::QueueFull, std::nullopt};
+    return {Admission::Refuse, ErrorCode::HopelessWait, std::nullopt};
   Submission Result{Admission::Queue, {}, std::nullopt};
   if (QueuedCount_ >= Settings_.Queue_) {
     Result.Displaced_ = displaceBelow(Ticket.Priority_);
@@ -37,7 +39,13 @@
       return {Admission::Refuse, refusalOfFullQueue(Ticket.Priority_),
               std::nullopt};
   }
-  Queues_[indexOf(Ticket.Priority_)].push_back({Ticket.Id_, Ticket.Deadline_});
+  WaitingQueue &Waiters = Queues_[indexOf(Ticket.Priority_)];
+  Waiters.insert(
+      std::upper_bound(Waiters.begin(), Waiters.end(), Ticket.Objective_,
+                       [](TimePoint Objective, const Waiting &Entry) {
+                         return Objective < Entry.Objective_;
+                       }),
+      {Ticket.Id_, Ticket.Deadline_, Ticket.Objective_});
   ++QueuedCount_;
   return Result;
 }
@@ -173,17 +181,27 @@
   QuickLatency_ = std::clamp(QuickLatency_, Duration::zero(), MeanLatency_);
 }
 
-/// Whether the answer of a request that joins the queue now would come after
-/// its deadline. The requests before it are those that are at least as
-/// important.
+/// Whether the answer of a request that joins the queue now would come too late
+/// to be of full use. The requests before it are those that are more important
+/// and those of its own priority with an earlier objective.
 bool AdmissionControl::waitIsTooLong(const CallTicket &Ticket,
                                      TimePoint Now) const {
+  std::size_t Own = indexOf(Ticket.Priority_);
   std::size_t Before = 1;
-  for (std::size_t Index = indexOf(Ticket.Priority_); Index < PriorityCount;
-       ++Index)
+  for (std::size_t Index = Own + 1; Index < PriorityCount; ++Index)
     Before += Queues_[Index].size();
+  for (const Waiting &Entry : Queues_[Own])
+    Before += Entry.Objective_ <= Ticket.Objective_ ? 1 : 0;
   Duration Wait = MeanLatency_ * static_cast<std::int64_t>(Before) / limit();
-  return Now + Wait + QuickLatency_ > Ticket.Deadline_;
+  if (Now + Wait + QuickLatency_ > Ticket.Deadline_)
+    return true;
+  bool Timely = Ticket.Objective_ != TimePoint::max() &&
+                Now + QuickLatency_ <= Ticket.Objective_;
+  // A short queue keeps the slots in use also when runs alone miss the
+  // objective.
+  if (!Timely || Before <= limit() / ShortQueue)
+    return false;
+  return Now + Wait + MeanLatency_ > Ticket.Objective_;
 }
 
 /// Removes the latest arrival of the lowest priority below Value.
@@ -207,9 +225,26 @@
                                         : ErrorCode::QueueFull;
 }
 
+/// Refuses the requests that can no longer meet their objective while others
+/// of their priority still can.
+void AdmissionControl::dropLate(WaitingQueue &Waiters, AdmissionActions &Actions,
+                                TimePoint Now) {
+  if (Waiters.empty() || Waiters.back().Objective_ == TimePoint::max() ||
+      Waiters.back().Objective_ < Now + QuickLatency_)
+    return;
+  while (Waiters.front().Objective_ < Now + QuickLatency_) {
+    Actions.Refuse_.push_back(
+        {Waiters.front().Id_, ErrorCode::HopelessWait});
+    Waiters.pop_front();
+    --QueuedCount_;
+  }
+}
+
 void AdmissionControl::startQueued(AdmissionActions &Actions, TimePoint Now) {
   for (std::size_t Index = PriorityCount; Index-- > 0;) {
     auto &Queue = Queues_[Index];
+    if (running() < limit())
+      dropLate(Queue, Actions, Now);
     while (!Queue.empty() && running() < limit()) {
       Waiting Next = Queue.front();
       Queue.pop_front();
--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -22,6 +22,8 @@
   Priority Priority_ = Priority::Normal;
   /// Time at which the request's answer is no longer wanted.
   TimePoint Deadline_;
+  /// Time until which the answer has its full use; max() without an objective.
+  TimePoint Objective_ = TimePoint::max();
 };
 
 /// A queued request that leaves without a run.
@@ -48,9 +50,9 @@
 /// Result of submit.
 struct Submission {
   Admission Admission_ = Admission::Refuse;
-  /// Set for Refuse: QueueFull (also when the deadline would pass in the
-  /// queue, so that the caller's node tries another host), Shed, Draining,
-  /// TargetDown or DeadlineBeforeRun.
+  /// Set for Refuse: QueueFull, HopelessWait (the answer would come after the
+  /// objective or the deadline; the caller's node may try another host), Shed,
+  /// Draining, TargetDown or DeadlineBeforeRun.
   ErrorCode Reason_ = ErrorCode::QueueFull;
   /// Queued request that this one displaced; refuse it.
   std::optional<RefusedTicket> Displaced_;
@@ -82,6 +84,17 @@
 /// so that the count of running requests is exact. Under overload the least
 /// important requests leave first, and of equally important ones the latest
 /// arrival, because the earlier one has waited already.
+///
+/// Load patterns and the decisions that answer them:
+/// - A burst beyond the slots: requests wait, those of the earliest objective
+///   first, so that short calls made by running work pass long ones.
+/// - A lasting overload: a request joins the queue only when its answer would
+///   still meet the objective. All others are refused at once; a queue that is
+///   longer would only make every answer late.
+/// - Runs that become slower while requests wait: a waiting request that can no
+///   longer meet its objective makes room for those that can.
+/// - A slow target: one whose runs alone miss the objective has a short queue,
+///   so that callers' nodes prefer the others.
 class AdmissionControl {
 public:
   explicit AdmissionControl(AdmissionSettings Settings);
@@ -149,18 +162,22 @@
   struct Waiting {
     std::uint64_t Id_;
     TimePoint Deadline_;
+    TimePoint Objective_;
   };
+  /// Requests of one priority by objective, equal ones by arrival.
+  using WaitingQueue = std::deque<Waiting>;
 
   void learnLatency(Duration Latency);
   bool waitIsTooLong(const CallTicket &Ticket, TimePoint Now) const;
   std::optional<RefusedTicket> displaceBelow(Priority Value);
   ErrorCode refusalOfFullQueue(Priority Value) const;
+  void dropLate(WaitingQueue &Waiters, AdmissionActions &Actions, TimePoint Now);
   void startQueued(AdmissionActions &Actions, TimePoint Now);
   void refuseQueue(AdmissionActions &Actions, ErrorCode Reason);
 
   AdmissionSettings Settings_;
   AdaptiveLimit Limit_;
-  std::array<std::deque<Waiting>, PriorityCount> Queues_;
+  std::array<WaitingQueue, PriorityCount> Queues_;
   std::uint32_t QueuedCount_ = 0;
   std::unordered_set<std::uint64_t> Running_;
   /// Moving average of measured latencies; zero before the first.
--- a/src/Node/TargetSide.cpp
+++ b/src/Node/TargetSide.cpp
@@ -219,7 +219,9 @@
   {
     std::lock_guard Lock(Admission_.Mutex_);
     Decision = Admission_.Control_.submit(
-        {Run->Id_, Run->Start_.Priority_, Run->Deadline_.at()}, Now);
+        {Run->Id_, Run->Start_.Priority_, Run->Deadline_.at(),
+         Run->Start_.Routed_ ? Now + Run->Start_.Objective_ : TimePoint::max()},
+        Now);
     if (Decision.Admission_ != Admission::Refuse) {
       Admission_.Runs_.emplace(Run->Id_, Run);
       if (Run->Connection_)
--- a/unittests/Admission/AdmissionControlTest.cpp
+++ b/unittests/Admission/AdmissionControlTest.cpp
@@ -93,7 +93,7 @@
   finish(1, milliseconds(100));
   submit(3);
   CHECK(submit(4, Priority::Normal, milliseconds(120)).Reason_ ==
-        Code::QueueFull);
+        Code::HopelessWait);
   CHECK(submit(5, Priority::Normal, milliseconds(160)).Admission_ ==
         Admission::Queue);
   CHECK(submit(6, Priority::Normal, Duration::zero()).Reason_ ==
