--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -7,6 +7,10 @@
 
 /// Reciprocal of the weight of a new latency in the estimates.
 constexpr int Smoothing = 16;
+/// Time that a run is expected to take when a request joins the queue, in
+/// percent of the mean: a run is longer than the mean in nearly half of all
+/// cases, and the wait before it may be, too.
+constexpr int ExpectedRunPercent = 150;
 /// The queue that is allowed whatever its wait is this part of the limit.
 constexpr std::uint32_t ShortQueue = 4;
 
@@ -201,7 +205,8 @@
   // objective.
   if (!Timely || Before <= limit() / ShortQueue)
     return false;
-  return Now + Wait + MeanLatency_ > Ticket.Objective_;
+  return Now + Wait + MeanLatency_ * ExpectedRunPercent / 100 >
+         Ticket.Objective_;
 }
 
 /// Removes the latest arrival of the lowest priority below Value.
--- /dev/null
+++ b/unittests/Admission/LoadPatternTest.cpp
@@ -0,0 +1,84 @@
+#include "LoadReplay.h"
+
+#include "../TestSeed.h"
+
+namespace marigold::admission {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A target of 9 slots. Lookups take 160 ms and shall be answered in 500 ms;
+/// 9 slots carry 56 of them a second.
+struct LoadPatternFixture {
+  AdmissionSettings Settings_{.Slots_ = 9, .Queue_ = 18, .Adaptive_ = false};
+  LoadKind Lookup_{0, milliseconds(160), milliseconds(500), milliseconds(1500),
+                   Priority::Background};
+  LoadKind Booking_{0, milliseconds(210), milliseconds(600), milliseconds(2000),
+                    Priority::Normal};
+  LoadKind Check_{0, milliseconds(40), milliseconds(150), milliseconds(500),
+                  Priority::Normal};
+
+  std::vector<LoadResult> replay(const std::vector<LoadKind> &Kinds) {
+    return LoadReplay(Settings_, testSeed(11)).run(Kinds, seconds(60));
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(LoadPatternFixture, "load below the slots is served in time") {
+  Lookup_.Rate_ = 40;
+  LoadResult Lookups = replay({Lookup_})[0];
+  CHECK(Lookups.Timely_ >= Lookups.Offered_ * 98 / 100);
+}
+
+// Guards against a queue that makes every answer late: at twice the capacity
+// the target must still serve about what it can carry, nearly all of it within
+// the objective, and refuse the rest without holding it.
+TEST_CASE_FIXTURE(LoadPatternFixture,
+                  "lasting overload is refused early and the rest is in time") {
+  Lookup_.Rate_ = 112;
+  LoadResult Lookups = replay({Lookup_})[0];
+  CHECK(Lookups.Timely_ >= Lookups.Offered_ * 42 / 100);
+  CHECK(Lookups.Late_ <= Lookups.Timely_ / 10);
+  CHECK(Lookups.LongestHeld_ <= Lookup_.Objective_);
+}
+
+// Guards against calls of running work that wait behind long requests: their
+// refusal wastes the work that made them.
+TEST_CASE_FIXTURE(LoadPatternFixture,
+                  "short calls pass long requests of the same priority") {
+  // 84 % of the slots.
+  Booking_.Rate_ = 15;
+  Check_.Rate_ = 110;
+  auto Results = replay({Booking_, Check_});
+  CHECK(Results[1].Refused_ <= Results[1].Offered_ * 3 / 100);
+  CHECK(Results[1].Timely_ >= Results[1].Offered_ * 95 / 100);
+}
+
+// Guards against a more urgent kind that is served worse than a less urgent one
+// at the same target.
+TEST_CASE_FIXTURE(LoadPatternFixture,
+                  "overload of lookups leaves bookings in time") {
+  Booking_.Rate_ = 12;
+  Lookup_.Rate_ = 100;
+  auto Results = replay({Booking_, Lookup_});
+  CHECK(Results[0].Timely_ >= Results[0].Offered_ * 95 / 100);
+}
+
+// Guards against a target that is left idle or that is filled with requests
+// that wait in vain while its runs take five times as long.
+TEST_CASE_FIXTURE(LoadPatternFixture, "slow target keeps its slots in use") {
+  Lookup_.Rate_ = 40;
+  LoadReplay Replay(Settings_, testSeed(11));
+  Replay.Slowdown_ = [](Duration Since) {
+    return Since > seconds(20) && Since < seconds(40) ? 5.0 : 1.0;
+  };
+  LoadResult Lookups = Replay.run({Lookup_}, seconds(60))[0];
+  int Served = Lookups.Timely_ + Lookups.Late_;
+  // 40 s at 40 a second, and 20 s at the 11 a second that it then carries.
+  CHECK(Served >= (40 * 40 + 20 * 11) * 85 / 100);
+  CHECK(Lookups.LongestHeld_ <= Lookup_.Limit_);
+}
+
+} // namespace marigold::admission
--- /dev/null
+++ b/unittests/Admission/LoadReplay.cpp
@@ -0,0 +1,92 @@
+#include "LoadReplay.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigold::admission {
+
+std::vector<LoadResult> LoadReplay::run(const std::vector<LoadKind> &Kinds,
+                                        Duration Length) {
+  Results_.assign(Kinds.size(), {});
+  std::uint64_t LastId = 0;
+  for (std::size_t Kind = 0; Kind < Kinds.size(); ++Kind) {
+    const LoadKind &Load = Kinds[Kind];
+    TimePoint At = Begin_;
+    for (;;) {
+      double Gap = -std::log(1 - Rng_.fraction()) / Load.Rate_;
+      At += std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(Gap));
+      if (At >= Begin_ + Length)
+        break;
+      double Spread = 0.5 + Rng_.fraction();
+      Requests_[++LastId] = {
+          Kind, At, At + Load.Objective_, At + Load.Limit_,
+          std::chrono::duration_cast<Duration>(Load.Work_ * Spread)};
+      Events_.push({At, LastId, false});
+      ++Results_[Kind].Offered_;
+    }
+  }
+  Kinds_ = Kinds;
+  while (!Events_.empty()) {
+    Event Next = Events_.top();
+    Events_.pop();
+    apply(Control_.expire(Next.At_), Next.At_);
+    if (Next.Ends_)
+      end(Next.Id_, Next.At_);
+    else
+      arrive(Next.Id_, Next.At_);
+  }
+  return Results_;
+}
+
+void LoadReplay::arrive(std::uint64_t Id, TimePoint Now) {
+  const Request &Value = Requests_.at(Id);
+  Submission Decision =
+      Control_.submit({Id, Kinds_[Value.Kind_].Priority_, Value.Deadline_,
+                       Value.Objective_},
+                      Now);
+  if (Decision.Displaced_)
+    refuse(Decision.Displaced_->Id_, Now);
+  if (Decision.Admission_ == Admission::Run)
+    start(Id, Now);
+  else if (Decision.Admission_ == Admission::Refuse)
+    refuse(Id, Now);
+}
+
+void LoadReplay::start(std::uint64_t Id, TimePoint Now) {
+  Request &Value = Requests_.at(Id);
+  Value.Started_ = Now;
+  auto Work = std::chrono::duration_cast<Duration>(Value.Work_ *
+                                                   Slowdown_(Now - Begin_));
+  // A target stops work at the deadline.
+  Events_.push({std::min(Now + Work, Value.Deadline_), Id, true});
+}
+
+void LoadReplay::end(std::uint64_t Id, TimePoint Now) {
+  Request Value = Requests_.at(Id);
+  LoadResult &Result = Results_[Value.Kind_];
+  if (Now <= Value.Objective_)
+    ++Result.Timely_;
+  else if (Now < Value.Deadline_)
+    ++Result.Late_;
+  RunSample Sample;
+  Sample.Latency_ = Now - Value.Started_;
+  Sample.Overloaded_ = Now >= Value.Deadline_;
+  apply(Control_.finish(Id, Sample, Now), Now);
+}
+
+void LoadReplay::refuse(std::uint64_t Id, TimePoint Now) {
+  const Request &Value = Requests_.at(Id);
+  LoadResult &Result = Results_[Value.Kind_];
+  ++Result.Refused_;
+  Result.LongestHeld_ = std::max(Result.LongestHeld_, Now - Value.Arrival_);
+}
+
+void LoadReplay::apply(const AdmissionActions &Actions, TimePoint Now) {
+  for (const RefusedTicket &Ticket : Actions.Refuse_)
+    refuse(Ticket.Id_, Now);
+  for (std::uint64_t Id : Actions.Start_)
+    start(Id, Now);
+}
+
+} // namespace marigold::admission
--- /dev/null
+++ b/unittests/Calls/PatienceTest.cpp
@@ -0,0 +1,70 @@
+#include "Calls/Patience.h"
+#include "Calls/Retry.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold::calls {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct PatienceFixture {
+  AttemptTiming Timing_{milliseconds(500), milliseconds(1500), true, true};
+};
+
+} // namespace
+
+// Replays a target that hangs: the request has to leave in time for another.
+TEST_CASE_FIXTURE(PatienceFixture,
+                  "attempt of a repeatable request ends behind the objective") {
+  auto Limit = attemptLimit(Timing_);
+  REQUIRE(Limit);
+  CHECK(*Limit > milliseconds(500));
+  CHECK(*Limit < milliseconds(1000));
+}
+
+// Guards against a second run of a booking.
+TEST_CASE_FIXTURE(PatienceFixture, "attempt that must not repeat has no limit") {
+  Timing_.Repeatable_ = false;
+  CHECK_FALSE(attemptLimit(Timing_));
+}
+
+TEST_CASE_FIXTURE(PatienceFixture, "last attempt has no limit") {
+  Timing_.AnotherAttempt_ = false;
+  CHECK_FALSE(attemptLimit(Timing_));
+}
+
+TEST_CASE_FIXTURE(PatienceFixture,
+                  "attempt without time for another one has no limit") {
+  Timing_.Remaining_ = milliseconds(700);
+  CHECK_FALSE(attemptLimit(Timing_));
+}
+
+// Guards against a budget that counts refusals by nodes, which load no target,
+// and one that misses refusals by targets.
+TEST_CASE("retry reaches a target after each end but a refusal by a node") {
+  CHECK(RetryPolicy::reachedTarget(ErrorCode::TargetRefused));
+  CHECK(RetryPolicy::reachedTarget(ErrorCode::TargetLost));
+  CHECK(RetryPolicy::reachedTarget(ErrorCode::AttemptAbandoned));
+  CHECK_FALSE(RetryPolicy::reachedTarget(ErrorCode::QueueFull));
+  CHECK_FALSE(RetryPolicy::reachedTarget(ErrorCode::HopelessWait));
+  CHECK_FALSE(RetryPolicy::reachedTarget(ErrorCode::Draining));
+}
+
+// Guards against more targets for one request than the route allows.
+TEST_CASE("retry beyond the targets that the route allows is refused") {
+  AttemptState State;
+  State.Reason_ = ErrorCode::TargetRefused;
+  State.Repeatable_ = true;
+  State.MaxTargets_ = 2;
+  State.ReachedTargets_ = 1;
+  TimePoint Now{std::chrono::hours(1)};
+  RetryBudget Budget({}, Now);
+  Deadline Limit = Deadline::after(Now, std::chrono::seconds(1));
+  CHECK(RetryPolicy().next(State, Limit, Budget, Now).Retry_);
+  State.ReachedTargets_ = 2;
+  RetryBudget Fresh({}, Now);
+  CHECK_FALSE(RetryPolicy().next(State, Limit, Fresh, Now).Retry_);
+}
+
+} // namespace marigold::calls
--- /dev/null
+++ b/unittests/Membership/TargetDirectoryTest.cpp
@@ -0,0 +1,108 @@
+#include "Membership/TargetDirectory.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct DirectoryFixture {
+  TimePoint Now_{seconds(1000)};
+  TargetDirectory Directory_;
+
+  static ListedTarget target(const std::string &Instance, std::uint32_t Ip,
+                             std::int64_t StartedAt = 1,
+                             std::uint64_t Sequence = 1) {
+    ListedTarget Target;
+    Target.Instance_ = Instance;
+    Target.Node_ = {Ip, 7400};
+    Target.Service_ = "desk";
+    Target.Slots_ = 9;
+    Target.StartedAt_ = milliseconds(StartedAt);
+    Target.Sequence_ = Sequence;
+    return Target;
+  }
+
+  std::vector<std::string> instances(std::string_view Service = "desk") {
+    std::vector<std::string> Names;
+    for (const ListedTarget *Target : Directory_.ofService(Service))
+      Names.push_back(Target->Instance_);
+    return Names;
+  }
+};
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+// Guards against a target that stays in the choice after it was taken away.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory without an outage drops a missing target at once") {
+  Directory_.apply({target("a", 1), target("b", 2)}, Now_);
+  Directory_.apply({target("b", 2)}, Now_);
+  CHECK(instances() == Names{"b"});
+  CHECK(Directory_.find({1, 7400}) == nullptr);
+}
+
+// Guards against an empty pool when entries lapse while the store is down.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory after an outage keeps missing targets for a grace") {
+  Directory_.apply({target("a", 1), target("b", 2)}, Now_);
+  Directory_.onSourceFailure();
+  Now_ += seconds(5);
+  Directory_.apply({target("b", 2)}, Now_);
+  CHECK(instances() == Names{"a", "b"});
+  CHECK_FALSE(Directory_.expire(Now_ + TargetDirectory::LapseGrace_ / 2));
+  CHECK(Directory_.expire(Now_ + TargetDirectory::LapseGrace_));
+  CHECK(instances() == Names{"b"});
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory after an outage keeps a target that came back") {
+  Directory_.apply({target("a", 1)}, Now_);
+  Directory_.onSourceFailure();
+  Directory_.apply({}, Now_);
+  Now_ += seconds(1);
+  Directory_.apply({target("a", 1)}, Now_);
+  CHECK_FALSE(Directory_.expire(Now_ + TargetDirectory::LapseGrace_));
+  CHECK(instances() == Names{"a"});
+}
+
+// Guards against new work for a target that left during the outage.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory after an outage drops a leaving target at once") {
+  ListedTarget Leaving = target("a", 1);
+  Leaving.Leaving_ = true;
+  Directory_.apply({Leaving}, Now_);
+  Directory_.onSourceFailure();
+  Directory_.apply({}, Now_);
+  CHECK(instances().empty());
+}
+
+// Guards against requests to the wrong service at an address that was reused.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory with one address twice names the newer target") {
+  ListedTarget Newer = target("new", 1, 20);
+  Newer.Service_ = "board";
+  Directory_.apply({target("old", 1, 10), Newer}, Now_);
+  REQUIRE(Directory_.find({1, 7400}) != nullptr);
+  CHECK(Directory_.find({1, 7400})->Instance_ == "new");
+  CHECK(instances().empty());
+  CHECK(instances("board") == Names{"new"});
+}
+
+// Guards against an old report that arrives late and undoes a drain.
+TEST_CASE_FIXTURE(DirectoryFixture, "directory ignores an older report") {
+  ListedTarget Leaving = target("a", 1, 5, 7);
+  Leaving.Leaving_ = true;
+  Directory_.apply({Leaving}, Now_);
+  Directory_.apply({target("a", 1, 5, 6)}, Now_);
+  REQUIRE(Directory_.find({1, 7400}) != nullptr);
+  CHECK(Directory_.find({1, 7400})->Leaving_);
+  Directory_.apply({target("a", 1, 6, 1)}, Now_);
+  CHECK_FALSE(Directory_.find({1, 7400})->Leaving_);
+}
+
+} // namespace marigold::membership
--- /dev/null
+++ b/unittests/Routing/WeightedSplitTest.cpp
@@ -0,0 +1,67 @@
+#include "Routing/WeightedSplit.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+
+namespace marigold::routing {
+namespace {
+
+struct SplitFixture {
+  Random Rng_{7};
+
+  std::vector<int> count(const std::vector<WeightedService> &Targets,
+                         int Requests) {
+    WeightedSplit Split(Targets, Rng_);
+    std::vector<int> Counts(Targets.size(), 0);
+    for (int Request = 0; Request < Requests; ++Request)
+      ++Counts[Split.next()];
+    return Counts;
+  }
+};
+
+} // namespace
+
+// Guards against shares that drift on a route with few requests.
+TEST_CASE_FIXTURE(SplitFixture, "split of any weights is off by one at most") {
+  for (int Case = 0; Case < 200; ++Case) {
+    std::vector<WeightedService> Targets;
+    double Sum = 0;
+    for (std::size_t Index = 0; Index < 1 + Rng_.below(5); ++Index) {
+      auto Weight = static_cast<std::uint32_t>(1 + Rng_.below(100));
+      Targets.push_back({"s" + std::to_string(Index), Weight});
+      Sum += Weight;
+    }
+    int Requests = static_cast<int>(1 + Rng_.below(300));
+    std::vector<int> Counts = count(Targets, Requests);
+    for (std::size_t Index = 0; Index < Targets.size(); ++Index)
+      CHECK(std::abs(Counts[Index] - Requests * Targets[Index].Weight_ / Sum) <=
+            static_cast<double>(Targets.size()));
+  }
+}
+
+TEST_CASE_FIXTURE(SplitFixture, "split gives a weight of zero nothing") {
+  CHECK(count({{"a", 0}, {"b", 3}}, 50) == std::vector<int>{0, 50});
+}
+
+// Guards against nodes that all send to the smaller part at the same time.
+TEST_CASE_FIXTURE(SplitFixture, "split starts at a random place of its cycle") {
+  int First = 0;
+  for (int Node = 0; Node < 1000; ++Node) {
+    WeightedSplit Split(std::vector<WeightedService>{{"a", 90}, {"b", 10}},
+                        Rng_);
+    First += Split.next() == 1 ? 1 : 0;
+  }
+  CHECK(First > 50);
+  CHECK(First < 200);
+}
+
+TEST_CASE_FIXTURE(SplitFixture, "split matches only the weights it was made for") {
+  std::vector<WeightedService> Targets{{"a", 90}, {"b", 10}};
+  WeightedSplit Split(Targets, Rng_);
+  CHECK(Split.matches(Targets));
+  Targets[0].Weight_ = 80;
+  CHECK_FALSE(Split.matches(Targets));
+}
+
+} // namespace marigold::routing
--- a/unittests/Support/SettingsParserTest.cpp
+++ b/unittests/Support/SettingsParserTest.cpp
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdio>
+#include <fstream>
+
 namespace marigold {
 namespace {
 
@@ -68,4 +71,34 @@
           std::string::npos);
 }
 
+// Guards against a settings file that wins over what an operator gives by hand.
+TEST_CASE_FIXTURE(SettingsFixture,
+                  "settings file comes before defaults and behind the rest") {
+  std::string Path = std::tmpnam(nullptr);
+  std::ofstream(Path) << "# a comment\n\n threads = 5\nsubset=9\n"
+                         "stop-grace = 2.5s\n";
+  Environment_["MARIGOLD_SUBSET"] = "3";
+  std::string Flag = "--settings-file=" + Path;
+  auto Parsed = parse({Flag.c_str()});
+  REQUIRE(Parsed);
+  CHECK(Parsed.value().Settings_.Threads_ == 5);
+  CHECK(Parsed.value().Settings_.Subset_ == 3);
+  CHECK(Parsed.value().Settings_.StopGrace_ ==
+        std::chrono::milliseconds(2500));
+  std::ofstream(Path) << "treads = 5\n";
+  auto Misspelt = parse({Flag.c_str()});
+  REQUIRE_FALSE(Misspelt);
+  CHECK(Misspelt.error().Detail_.find("treads") != std::string::npos);
+  std::remove(Path.c_str());
+  CHECK_FALSE(parse({Flag.c_str()}));
+}
+
+TEST_CASE("duration with a fraction is read in milliseconds") {
+  CHECK(parseDuration("0.25s").value() == std::chrono::milliseconds(250));
+  CHECK(parseDuration("1.5m").value() == std::chrono::seconds(90));
+  CHECK_FALSE(parseDuration("1.s"));
+  CHECK_FALSE(parseDuration(".5s"));
+  CHECK_FALSE(parseDuration("1.5.5s"));
+}
+
 } // namespace marigold
