--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -30,6 +30,8 @@
     return {Admission::Refuse, ErrorCode::TargetDown, std::nullopt};
   if (Ticket.Deadline_ <= Now)
     return {Admission::Refuse, ErrorCode::DeadlineBeforeRun, std::nullopt};
+  if (transferIsTooLong(Ticket, Now))
+    return {Admission::Refuse, ErrorCode::HopelessWait, std::nullopt};
   if (running() < limit() && QueuedCount_ == 0) {
     Running_.insert(Ticket.Id_);
     return {Admission::Run, {}, std::nullopt};
@@ -185,6 +187,15 @@
   QuickLatency_ = std::clamp(QuickLatency_, Duration::zero(), MeanLatency_);
 }
 
+/// Whether the answer, even without any wait for a slot, would come too late.
+bool AdmissionControl::transferIsTooLong(const CallTicket &Ticket,
+                                         TimePoint Now) const {
+  if (Ticket.Transfer_ == Duration::zero())
+    return false;
+  TimePoint Limit = std::min(Ticket.Objective_, Ticket.Deadline_);
+  return Now + QuickLatency_ + Ticket.Transfer_ > Limit;
+}
+
 /// Whether the answer of a request that joins the queue now would come too late
 /// to be of full use. The requests before it are those that are more important
 /// and those of its own priority with an earlier objective.
@@ -197,6 +208,7 @@
   for (const Waiting &Entry : Queues_[Own])
     Before += Entry.Objective_ <= Ticket.Objective_ ? 1 : 0;
   Duration Wait = MeanLatency_ * static_cast<std::int64_t>(Before) / limit();
+  Wait += Ticket.Transfer_;
   if (Now + Wait + QuickLatency_ > Ticket.Deadline_)
     return true;
   bool Timely = Ticket.Objective_ != TimePoint::max() &&
@@ -232,14 +244,13 @@
 
 /// Refuses the requests that can no longer meet their objective while others
 /// of their priority still can.
-void AdmissionControl::dropLate(WaitingQueue &Waiters, AdmissionActions &Actions,
-                                TimePoint Now) {
+void AdmissionControl::dropLate(WaitingQueue &Waiters,
+                                AdmissionActions &Actions, TimePoint Now) {
   if (Waiters.empty() || Waiters.back().Objective_ == TimePoint::max() ||
       Waiters.back().Objective_ < Now + QuickLatency_)
     return;
   while (Waiters.front().Objective_ < Now + QuickLatency_) {
-    Actions.Refuse_.push_back(
-        {Waiters.front().Id_, ErrorCode::HopelessWait});
+    Actions.Refuse_.push_back({Waiters.front().Id_, ErrorCode::HopelessWait});
     Waiters.pop_front();
     --QueuedCount_;
   }
--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -24,6 +24,9 @@
   TimePoint Deadline_;
   /// Time until which the answer has its full use; max() without an objective.
   TimePoint Objective_ = TimePoint::max();
+  /// Time that the answer will wait for the host's link and take on it; zero
+  /// for small answers.
+  Duration Transfer_{};
 };
 
 /// A queued request that leaves without a run.
@@ -93,6 +96,9 @@
 ///   longer would only make every answer late.
 /// - Runs that become slower while requests wait: a waiting request that can no
 ///   longer meet its objective makes room for those that can.
+/// - Large answers beyond the rate of the host's link: a request whose answer
+///   would wait for the link beyond the objective is refused although slots
+///   are free; its answer would only delay the others.
 /// - A slow target: one whose runs alone miss the objective has a short queue,
 ///   so that callers' nodes prefer the others.
 class AdmissionControl {
@@ -168,10 +174,12 @@
   using WaitingQueue = std::deque<Waiting>;
 
   void learnLatency(Duration Latency);
+  bool transferIsTooLong(const CallTicket &Ticket, TimePoint Now) const;
   bool waitIsTooLong(const CallTicket &Ticket, TimePoint Now) const;
   std::optional<RefusedTicket> displaceBelow(Priority Value);
   ErrorCode refusalOfFullQueue(Priority Value) const;
-  void dropLate(WaitingQueue &Waiters, AdmissionActions &Actions, TimePoint Now);
+  void dropLate(WaitingQueue &Waiters, AdmissionActions &Actions,
+                TimePoint Now);
   void startQueued(AdmissionActions &Actions, TimePoint Now);
   void refuseQueue(AdmissionActions &Actions, ErrorCode Reason);
 
--- a/src/Distribution/SourceReader.cpp
+++ b/src/Distribution/SourceReader.cpp
@@ -78,8 +78,6 @@
   if (HostsRunning_ || Now < NextHosts_)
     return;
   HostsRunning_ = true;
-  NextHosts_ =
-      Now + Options_.HostsInterval_ / 2 + Rng_.upTo(Options_.HostsInterval_);
   Out.push_back(ReadHosts{});
 }
 
@@ -92,8 +90,10 @@
     ++IndexFalls_;
     Agreed_ = false;
   }
-  if (Index != SeenIndex_)
+  if (Index != SeenIndex_) {
     SeenAt_ = Now;
+    NextWatch_ = std::max(NextWatch_, Now + Options_.WatchGap_);
+  }
   SeenIndex_ = Index;
   planFetch(Now);
 }
@@ -112,6 +112,8 @@
 
 void SourceReader::onHosts(TimePoint Now) {
   HostsRunning_ = false;
+  NextHosts_ =
+      Now + Options_.HostsInterval_ / 2 + Rng_.upTo(Options_.HostsInterval_);
   HostsBackoff_.reset();
   Confirmation_.confirm(Now);
 }
--- a/src/Distribution/SourceReader.h
+++ b/src/Distribution/SourceReader.h
@@ -56,7 +56,8 @@
   /// Longest wait in mode Peers; below StaleAfter_ with room for the spread of
   /// the age by probes.
   std::chrono::milliseconds ConfirmWait_ = std::chrono::seconds(6);
-  /// Mean time between two reads of the host list, which wait for a change.
+  /// Mean time between the end of a read of the host list, which waits for a
+  /// change, and the next one.
   Duration HostsInterval_ = std::chrono::seconds(30);
   /// Setting restart-spread: time after the start before the role of a reader
   /// is taken up, spread evenly over the second half of this window. A node
@@ -71,8 +72,9 @@
   /// Highest expected number of such reads per second in the whole fleet;
   /// bounds the load of a source that comes back after an outage.
   double TakeoverLimit_ = 50;
-  /// Shortest time between two watches, so that a source that answers at once
-  /// is not called in a loop.
+  /// Shortest time between two watches and after a change, so that a source
+  /// that answers at once is not called in a loop and changes in quick
+  /// succession are read together.
   Duration WatchGap_ = std::chrono::milliseconds(200);
   /// First and highest ceiling of the delay after a failed call.
   Duration FirstBackoff_ = std::chrono::milliseconds(500);
--- a/src/Node/CallLog.cpp
+++ b/src/Node/CallLog.cpp
@@ -1,6 +1,13 @@
 #include "Node/CallLog.h"
 
 namespace marigold::node {
+namespace {
+
+/// Failures that may be logged for each success.
+constexpr std::uint64_t FailureFactor = 4;
+constexpr Duration Window = std::chrono::seconds(1);
+
+} // namespace
 
 bool CallLog::admits(bool Failed, TimePoint Now) {
   std::lock_guard Lock(Mutex_);
--- a/src/Node/CallLog.h
+++ b/src/Node/CallLog.h
@@ -22,10 +22,6 @@
   bool admits(bool Failed, TimePoint Now);
 
 private:
-  /// Failures that may be logged for each success.
-  static constexpr std::uint64_t FailureFactor = 4;
-  static constexpr Duration Window = std::chrono::seconds(1);
-
   const std::uint64_t Rate_;
   std::atomic<std::int64_t> &Dropped_;
   std::mutex Mutex_;
--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -102,13 +102,36 @@
                        transport::HttpRequest Request,
                        std::shared_ptr<transport::HttpExchange> Exchange)
     : Context_(std::move(Context)), Request_(std::move(Request)),
-      Exchange_(std::move(Exchange)), Timer_(Context_->Parts_.Io_) {
-  ++Context_->Open_;
+      Exchange_(std::move(Exchange)), Timer_(Context_->Parts_.Io_) {}
+
+CallerCall::~CallerCall() { Context_->removeOpen(this); }
+
+void CallerContext::addOpen(const std::shared_ptr<CallerCall> &Call) {
+  std::lock_guard Lock(OpenMutex_);
+  Open_.emplace(Call.get(), Call);
+}
+
+void CallerContext::removeOpen(const CallerCall *Call) {
+  std::lock_guard Lock(OpenMutex_);
+  Open_.erase(Call);
 }
 
-CallerCall::~CallerCall() { --Context_->Open_; }
+std::vector<std::shared_ptr<CallerCall>> CallerContext::openCalls() {
+  std::vector<std::shared_ptr<CallerCall>> Calls;
+  std::lock_guard Lock(OpenMutex_);
+  for (const auto &[Key, Weak] : Open_)
+    if (auto Call = Weak.lock())
+      Calls.push_back(std::move(Call));
+  return Calls;
+}
+
+std::size_t CallerContext::countOpen() {
+  std::lock_guard Lock(OpenMutex_);
+  return Open_.size();
+}
 
 void CallerCall::start() {
+  Context_->addOpen(shared_from_this());
   switch (Context_->Parts_.Environment_.gate()) {
   case CallGate::Open:
     begin();
@@ -499,7 +522,7 @@
 }
 
 void CallerCall::cancelHedge() {
-  Hedge Cancelled;
+  HedgedAttempt Cancelled;
   {
     std::lock_guard Lock(Mutex_);
     if (!hedgePending())
--- a/src/Node/CallerCall.h
+++ b/src/Node/CallerCall.h
@@ -14,10 +14,13 @@
 #include <atomic>
 #include <mutex>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace marigold::node {
 
+class CallerCall;
+
 /// What the calls of a caller's side share.
 struct CallerContext {
   CallerContext(CallerSideParts Parts, std::uint64_t Seed)
@@ -36,15 +39,31 @@
   CallerSideParts Parts_;
   CallerPools Pools_;
   CallLog Log_;
-  std::atomic<std::size_t> Open_ = 0;
+
+  /// Calls that are not answered yet.
+  void addOpen(const std::shared_ptr<CallerCall> &Call);
+  void removeOpen(const CallerCall *Call);
+  std::vector<std::shared_ptr<CallerCall>> openCalls();
+  std::size_t countOpen();
 
 private:
+  std::mutex OpenMutex_;
+  std::unordered_map<const CallerCall *, std::weak_ptr<CallerCall>> Open_;
   std::mutex SplitMutex_;
   Random SplitSeeds_;
   /// Splits of routes by host and prefix.
   std::map<std::pair<std::string, std::string>, routing::WeightedSplit> Splits_;
 };
 
+/// A second attempt of a request beside the first one.
+struct HedgedAttempt {
+  HostId Host_;
+  bool Pending_ = true;
+  transport::PeerConnectionPtr Connection_;
+  std::uint32_t Stream_ = 0;
+  std::optional<std::uint64_t> LocalNumber_;
+};
+
 /// One request of a caller, with all its attempts. Events (answers, lost
 /// connections, the deadline, a caller that goes away) may come from several
 /// threads; the lock decides which of them ends the request.
@@ -60,6 +79,9 @@
   /// Takes the request, or waits while the environment holds calls back.
   void start();
 
+  /// Ends the call as if its deadline had passed: the process is about to end.
+  void onShutdown() { onDeadline(); }
+
 private:
   /// Checks the request and fills in the call. Fails with the code of the
   /// refusal.
@@ -158,15 +180,7 @@
   /// Time after which a target's node that refused expects to have room.
   std::chrono::milliseconds RetryAfter_{};
   std::optional<transport::PeerReply> Fallback_;
-  /// A second attempt beside the first one.
-  struct Hedge {
-    HostId Host_;
-    bool Pending_ = true;
-    transport::PeerConnectionPtr Connection_;
-    std::uint32_t Stream_ = 0;
-    std::optional<std::uint64_t> LocalNumber_;
-  };
-  std::optional<Hedge> Hedge_;
+  std::optional<HedgedAttempt> Hedge_;
   /// Code of the end without an answer, once only the hedge is under way.
   std::optional<ErrorCode> EndsWith_;
   /// Hosts that were tried, each with the reason of its end, for the log.
--- a/src/Node/CallerSide.cpp
+++ b/src/Node/CallerSide.cpp
@@ -93,12 +93,17 @@
 
 std::uint16_t CallerSide::port() const { return Impl_->Server_.port(); }
 
-std::size_t CallerSide::open() const { return Impl_->Context_->Open_; }
+std::size_t CallerSide::open() const { return Impl_->Context_->countOpen(); }
 
 void CallerSide::beginDrain() { Impl_->Server_.beginDrain(); }
 
 void CallerSide::drain() { Impl_->Server_.drain(); }
 
+void CallerSide::endOpen() {
+  for (const auto &Call : Impl_->Context_->openCalls())
+    Call->onShutdown();
+}
+
 void CallerSide::stop() { Impl_->Server_.stop(); }
 
 } // namespace marigold::node
--- a/src/Node/CallerSide.h
+++ b/src/Node/CallerSide.h
@@ -62,6 +62,10 @@
   /// Stops accepting connections; requests in progress are still answered.
   void drain();
 
+  /// Answers all open requests: those that were not sent as not run, the others
+  /// as unknown. For a process that is about to end.
+  void endOpen();
+
   /// Closes all connections of callers.
   void stop();
 
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -50,6 +50,15 @@
   return Own;
 }
 
+std::shared_ptr<transport::EgressPacer>
+makePacer(boost::asio::io_context &Io, const NodeSettings &Settings) {
+  constexpr double BytesPerMegabit = 1e6 / 8;
+  if (Settings.LinkMbps_ <= 0)
+    return nullptr;
+  return std::make_shared<transport::EgressPacer>(Io, Settings.LinkMbps_ *
+                                                          BytesPerMegabit);
+}
+
 std::uint64_t chooseSeed(const NodeSettings &Settings) {
   if (Settings.RandomSeed_ != 0)
     return mixHash(Settings.RandomSeed_,
@@ -70,7 +79,7 @@
         DrainTimer_(Io_),
         Control_({Io_, Metrics_, Settings_}, Own_, Seeds_.next(),
                  std::chrono::steady_clock::now(), Adapter_.MakeSource_),
-        Target_({Io_, Control_, Metrics_, Settings_, Adapter_.Dialect_},
+        Target_({Io_, Control_, Metrics_, Settings_, Adapter_.Dialect_, Pacer_},
                 Own_.Incarnation_, Seeds_.next()),
         Dispatcher_(Target_, Control_),
         Server_(Io_, Dispatcher_, peerOptions()),
@@ -131,6 +140,7 @@
     Options.Mesh_ = hash64(Settings_.Mesh_);
     Options.OwnRecord_ = [this] { return Control_.ownRecord(); };
     Options.Metrics_ = &Metrics_;
+    Options.Pacer_ = Pacer_;
     return Options;
   }
 
@@ -237,6 +247,7 @@
         return;
       logEvent(LogLevel::Warning, "drain_limit_exceeded",
                {{"open", std::to_string(Caller_.open())}});
+      Caller_.endOpen();
       finish();
     });
   }
@@ -285,6 +296,8 @@
   Random Seeds_;
   MetricsRegistry Metrics_;
   boost::asio::io_context Io_;
+  const std::shared_ptr<transport::EgressPacer> Pacer_ =
+      makePacer(Io_, Settings_);
   boost::asio::signal_set Signals_;
   boost::asio::strand<boost::asio::io_context::executor_type> SettingsStrand_{
       boost::asio::make_strand(Io_)};
--- a/src/Node/TargetRun.cpp
+++ b/src/Node/TargetRun.cpp
@@ -129,6 +129,7 @@
   {
     std::lock_guard Lock(Admission_.Mutex_);
     Admission_.Runs_.erase(Run->Id_);
+    Admission_.Transfers_.onEnded(Run->Id_, Run->Start_.Priority_, 0);
     if (Run->Connection_)
       Admission_.Streams_.erase({Run->Connection_.get(), Run->Start_.Stream_});
     Load = Admission_.Control_.load();
@@ -204,7 +205,7 @@
                            std::chrono::steady_clock::now());
   }
   bool Shed = Status == 503 || Status == 429;
-  LoadReport Load = endRun(Run, {Latency, true, Shed});
+  LoadReport Load = endRun(Run, {Latency, true, Shed}, Response.Body_.size());
   logRun(*Run, Status >= 500 ? "failed" : "answered", std::to_string(Status),
          Load, Latency);
   sendReply(Run, Status, std::move(Response.Headers_),
@@ -259,20 +260,22 @@
   Sample.Latency_ = Latency;
   Sample.Overloaded_ = Code == ErrorCode::DeadlineExceeded;
   Sample.Measured_ = Sample.Overloaded_;
-  LoadReport Load = endRun(Run, Sample);
+  LoadReport Load = endRun(Run, Sample, 0);
   logRun(*Run, "failed", errorText(Code), Load, Latency);
   Parts_.Metrics_.add(Metric::RefusedTotal, 1, errorText(Code));
   sendRefusal(Run, Code, Load, {});
 }
 
 LoadReport TargetSide::Impl::endRun(const TargetRunPtr &Run,
-                                    const admission::RunSample &Sample) {
+                                    const admission::RunSample &Sample,
+                                    std::size_t AnswerBytes) {
   admission::AdmissionActions Actions;
   LoadReport Load;
   bool Draining = false;
   {
     std::lock_guard Lock(Admission_.Mutex_);
     Admission_.Runs_.erase(Run->Id_);
+    Admission_.Transfers_.onEnded(Run->Id_, Run->Start_.Priority_, AnswerBytes);
     if (Run->Connection_)
       Admission_.Streams_.erase({Run->Connection_.get(), Run->Start_.Stream_});
     if (CrashCheck_ && Sample.Measured_)
--- a/src/Node/TargetSide.cpp
+++ b/src/Node/TargetSide.cpp
@@ -59,6 +59,7 @@
           {},
           {},
           {},
+          {},
           false,
           {},
           {}},
@@ -215,13 +216,20 @@
     }
   }
   admission::Submission Decision;
-  TargetRunPtr Displaced;
+  bool UsesLink = Parts_.Pacer_ && Run->Connection_;
   {
     std::lock_guard Lock(Admission_.Mutex_);
-    Decision = Admission_.Control_.submit(
-        {Run->Id_, Run->Start_.Priority_, Run->Deadline_.at(),
-         Run->Start_.Routed_ ? Now + Run->Start_.Objective_ : TimePoint::max()},
-        Now);
+    admission::CallTicket Ticket{Run->Id_, Run->Start_.Priority_,
+                                 Run->Deadline_.at()};
+    if (Run->Start_.Routed_)
+      Ticket.Objective_ = Now + Run->Start_.Objective_;
+    std::size_t Bytes =
+        UsesLink ? Admission_.Transfers_.bytesFor(Ticket.Priority_) : 0;
+    if (Bytes != 0)
+      Ticket.Transfer_ = Parts_.Pacer_->transferTime(Bytes);
+    Decision = Admission_.Control_.submit(Ticket, Now);
+    if (UsesLink && Decision.Admission_ != Admission::Refuse)
+      Admission_.Transfers_.onAdmitted(Run->Id_, Ticket.Priority_);
     if (Decision.Admission_ != Admission::Refuse) {
       Admission_.Runs_.emplace(Run->Id_, Run);
       if (Run->Connection_)
--- a/src/Node/TargetSide.h
+++ b/src/Node/TargetSide.h
@@ -2,6 +2,7 @@
 
 #include "Node/CallEnvironment.h"
 #include "Node/HttpDialect.h"
+#include "Transport/EgressPacer.h"
 #include "Transport/PeerConnection.h"
 
 #include "Schema/generated/Settings.h"
@@ -27,6 +28,8 @@
   const NodeSettings &Settings_;
   /// Names of header fields.
   const HttpDialect &Dialect_ = ownDialect();
+  /// The host's link; null when it is not shared out.
+  std::shared_ptr<transport::EgressPacer> Pacer_ = nullptr;
 };
 
 /// Admits calls for the target beside this node and runs them there. Receives
--- a/src/Node/TargetSideImpl.h
+++ b/src/Node/TargetSideImpl.h
@@ -6,6 +6,7 @@
 #include "Admission/AdmissionControl.h"
 #include "Admission/DrainControl.h"
 #include "Admission/TargetMonitor.h"
+#include "Admission/TransferForecast.h"
 #include "Calls/CrashSuspects.h"
 #include "Calls/Deadline.h"
 #include "Calls/KeyTable.h"
@@ -108,6 +109,8 @@
     std::unordered_map<std::uint64_t, TargetRunPtr> Runs_;
     std::map<std::pair<const void *, std::uint32_t>, std::uint64_t> Streams_;
     ConfigVersion Configured_;
+    /// Sizes of answers that are on their way to the link.
+    admission::TransferForecast Transfers_;
     /// Slots and queue were taken from a configuration.
     bool Started_ = false;
     /// The target beside this node as the platform lists it.
@@ -155,8 +158,8 @@
                 Duration Latency);
   void onFailure(const TargetRunPtr &Run,
                  const transport::HttpClientFailure &Failed, Duration Latency);
-  LoadReport endRun(const TargetRunPtr &Run,
-                    const admission::RunSample &Sample);
+  LoadReport endRun(const TargetRunPtr &Run, const admission::RunSample &Sample,
+                    std::size_t AnswerBytes);
   void sendReply(const TargetRunPtr &Run, std::uint16_t Status,
                  std::vector<Header> Headers, std::string Body,
                  const LoadReport &Load, Duration Latency);
--- a/src/Schema/SettingTypes.h
+++ b/src/Schema/SettingTypes.h
@@ -33,6 +33,7 @@
   Count,
   Duration,
   Ratio,
+  Decimal,
   Choice,
   Flag
 };
@@ -48,9 +49,9 @@
   std::string Default_;
   /// One sentence for --help.
   std::string Help_;
-  /// Lower limit of a count, or of a duration in ms.
+  /// Lower limit of a count or decimal, or of a duration in ms.
   std::uint64_t Minimum_;
-  /// Upper limit of a count, or of a duration in ms.
+  /// Upper limit of a count or decimal, or of a duration in ms.
   std::uint64_t Maximum_;
   /// Allowed texts of a choice.
   std::vector<std::string> Choices_;
--- a/src/Support/SettingsParser.cpp
+++ b/src/Support/SettingsParser.cpp
@@ -283,6 +283,12 @@
   char *End = nullptr;
   double Value = std::strtod(Text.c_str(), &End);
   bool Whole = !Text.empty() && End == Text.c_str() + Text.size();
+  if (Info.Type_ == SettingType::Decimal) {
+    if (Whole && Value >= static_cast<double>(Info.Minimum_) &&
+        Value <= static_cast<double>(Info.Maximum_))
+      return Value;
+    return invalid(Info, Text, "a number, " + limitText(Info, ""));
+  }
   if (!Whole || !(Value >= 0 && Value <= 1))
     return invalid(Info, Text, "a ratio, 0 to 1");
   return Value;
--- a/src/Transport/DeadPeer.cpp
+++ b/src/Transport/DeadPeer.cpp
@@ -12,13 +12,12 @@
 constexpr int ProbeSeconds = 1;
 /// Unanswered probes that end the connection.
 constexpr int Probes = 2;
-/// Time for which sent data may stay unacknowledged, in milliseconds. Three
-/// retransmissions on a network with delays of up to 100 ms.
-constexpr unsigned UnacknowledgedMs = 2000;
 
 } // namespace
 
-void detectDeadPeer(boost::asio::ip::tcp::socket &Socket) {
+void detectDeadPeer(boost::asio::ip::tcp::socket &Socket,
+                    std::chrono::milliseconds Unacknowledged) {
+  auto Limit = static_cast<unsigned>(Unacknowledged.count());
   int Handle = Socket.native_handle();
   int On = 1;
   // A failure leaves the kernel's defaults, with which connections still work.
@@ -28,8 +27,7 @@
   ::setsockopt(Handle, IPPROTO_TCP, TCP_KEEPINTVL, &ProbeSeconds,
                sizeof(ProbeSeconds));
   ::setsockopt(Handle, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof(Probes));
-  ::setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs,
-               sizeof(UnacknowledgedMs));
+  ::setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit, sizeof(Limit));
 }
 
 } // namespace marigold::transport
--- a/src/Transport/DeadPeer.h
+++ b/src/Transport/DeadPeer.h
@@ -1,13 +1,24 @@
 #pragma once
 
+#include "Support/Clock.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 namespace marigold::transport {
 
 /// Lets the kernel end a connection whose other side no longer answers:
 /// keep-alive probes after a second of silence, and a limit on unacknowledged
-/// data. A host that lost its power or its network sends no reset, so that a
-/// connection to it would hang for many minutes otherwise.
-void detectDeadPeer(boost::asio::ip::tcp::socket &Socket);
+/// data of Unacknowledged. A host that lost its power or its network sends no
+/// reset, so that a connection to it would hang for many minutes otherwise.
+void detectDeadPeer(boost::asio::ip::tcp::socket &Socket,
+                    std::chrono::milliseconds Unacknowledged);
+
+/// Limit for exchanges that take milliseconds: three retransmissions on a
+/// network with delays of up to 100 ms.
+inline constexpr std::chrono::milliseconds ShortUnacknowledged{2000};
+
+/// Limit for connections that carry large bodies, over links whose queue may
+/// hold seconds of data.
+inline constexpr std::chrono::milliseconds BulkUnacknowledged{4000};
 
 } // namespace marigold::transport
--- /dev/null
+++ b/src/Transport/EgressPacer.cpp
@@ -0,0 +1,115 @@
+#include "Transport/EgressPacer.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace marigold::transport {
+namespace {
+
+/// Share of the link that is used, so that its queue drains: acknowledgements,
+/// headers of packets and traffic of the target take the rest.
+constexpr double UsedShare = 0.95;
+/// Time of full rate that may be sent at once. Bounds what a small message
+/// waits for in the link's queue.
+constexpr double BurstSeconds = 0.02;
+/// Smallest burst: two pieces of a body.
+constexpr double LeastBurst = 32.0 * 1024;
+
+double secondsOf(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+Duration durationOf(double Seconds) {
+  return std::chrono::ceil<Duration>(std::chrono::duration<double>(Seconds));
+}
+
+} // namespace
+
+EgressBucket::EgressBucket(double Rate, TimePoint Now)
+    : Rate_(Rate * UsedShare),
+      Burst_(std::max(Rate_ * BurstSeconds, LeastBurst)), Tokens_(Burst_),
+      Refilled_(Now) {}
+
+double EgressBucket::tokensAt(TimePoint Now) const {
+  double Since = std::max(secondsOf(Now - Refilled_), 0.0);
+  return std::min(Tokens_ + Since * Rate_, Burst_);
+}
+
+void EgressBucket::charge(std::size_t Bytes, TimePoint Now) {
+  Tokens_ = tokensAt(Now) - static_cast<double>(Bytes);
+  Refilled_ = std::max(Refilled_, Now);
+}
+
+bool EgressBucket::allow(std::size_t Bytes, TimePoint Now) {
+  if (tokensAt(Now) <= 0)
+    return false;
+  charge(Bytes, Now);
+  return true;
+}
+
+Duration EgressBucket::wait(TimePoint Now) const {
+  double Missing = -tokensAt(Now);
+  return Missing < 0 ? Duration::zero()
+                     : durationOf(Missing / Rate_) + Duration(1);
+}
+
+Duration EgressBucket::transferTime(std::size_t Bytes, TimePoint Now) const {
+  double Ahead = std::max(-tokensAt(Now), 0.0) + static_cast<double>(Bytes);
+  return durationOf(Ahead / Rate_);
+}
+
+EgressPacer::EgressPacer(boost::asio::io_context &Io, double Rate)
+    : Bucket_(Rate, std::chrono::steady_clock::now()), Timer_(Io) {}
+
+void EgressPacer::charge(std::size_t Bytes) {
+  std::lock_guard Lock(Mutex_);
+  Bucket_.charge(Bytes, std::chrono::steady_clock::now());
+}
+
+bool EgressPacer::allow(std::size_t Bytes) {
+  std::lock_guard Lock(Mutex_);
+  return Bucket_.allow(Bytes, std::chrono::steady_clock::now());
+}
+
+void EgressPacer::waitTurn(std::function<void()> Resume) {
+  std::lock_guard Lock(Mutex_);
+  Waiting_.push_back(std::move(Resume));
+  arm();
+}
+
+void EgressPacer::arm() {
+  if (Armed_ || Waiting_.empty())
+    return;
+  Armed_ = true;
+  Timer_.expires_after(Bucket_.wait(std::chrono::steady_clock::now()));
+  Timer_.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    std::function<void()> Next;
+    {
+      std::lock_guard Lock(Mutex_);
+      Armed_ = false;
+      if (Waiting_.empty())
+        return;
+      Next = std::move(Waiting_.front());
+      Waiting_.pop_front();
+    }
+    Next();
+    std::lock_guard Lock(Mutex_);
+    arm();
+  });
+}
+
+void EgressPacer::addBacklog(std::int64_t Bytes) {
+  std::lock_guard Lock(Mutex_);
+  Backlog_ += Bytes;
+}
+
+Duration EgressPacer::transferTime(std::size_t Bytes) const {
+  std::lock_guard Lock(Mutex_);
+  auto Ahead = static_cast<std::size_t>(std::max<std::int64_t>(Backlog_, 0));
+  return Bucket_.transferTime(Ahead + Bytes, std::chrono::steady_clock::now());
+}
+
+} // namespace marigold::transport
--- /dev/null
+++ b/src/Transport/EgressPacer.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "Support/Clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+
+namespace marigold::transport {
+
+/// Token bucket over the bytes that a host sends, as a pure decision. Small
+/// messages always pass and are charged; pieces of large bodies pass only
+/// while tokens are left.
+class EgressBucket {
+public:
+  /// Rate is that of the host's link in bytes a second.
+  EgressBucket(double Rate, TimePoint Now);
+
+  /// Bytes that are sent in any case.
+  void charge(std::size_t Bytes, TimePoint Now);
+
+  /// Whether a piece of a large body may be sent now; charged if it may.
+  [[nodiscard]] bool allow(std::size_t Bytes, TimePoint Now);
+
+  /// Time until allow succeeds.
+  Duration wait(TimePoint Now) const;
+
+  /// Time that Bytes take on the link behind what was charged before.
+  Duration transferTime(std::size_t Bytes, TimePoint Now) const;
+
+private:
+  double tokensAt(TimePoint Now) const;
+
+  double Rate_;
+  double Burst_;
+  double Tokens_;
+  TimePoint Refilled_;
+};
+
+/// Shares the link of a host among its connections. Without it, answers with
+/// large bodies fill the queue of a slow link, and small urgent messages wait
+/// behind them. Safe to use from any thread.
+class EgressPacer {
+public:
+  /// Rate is that of the host's link in bytes a second.
+  EgressPacer(boost::asio::io_context &Io, double Rate);
+
+  /// See EgressBucket.
+  void charge(std::size_t Bytes);
+  [[nodiscard]] bool allow(std::size_t Bytes);
+
+  /// Calls Resume once, on a thread of the io_context, when it is the caller's
+  /// turn to ask allow again. Callers take turns in the order of their calls.
+  void waitTurn(std::function<void()> Resume);
+
+  /// Bytes of large bodies that are ready to be sent; negative when some were
+  /// sent or dropped.
+  void addBacklog(std::int64_t Bytes);
+
+  /// Time after which a large body of Bytes would have left, behind the ones
+  /// that are ready to be sent.
+  Duration transferTime(std::size_t Bytes) const;
+
+private:
+  void arm();
+
+  mutable std::mutex Mutex_;
+  EgressBucket Bucket_;
+  std::int64_t Backlog_ = 0;
+  std::deque<std::function<void()>> Waiting_;
+  boost::asio::steady_timer Timer_;
+  bool Armed_ = false;
+};
+
+} // namespace marigold::transport
--- a/src/Transport/HttpClientConnection.cpp
+++ b/src/Transport/HttpClientConnection.cpp
@@ -87,7 +87,7 @@
     return;
   }
   Socket_.set_option(tcp::no_delay(true), Ignored);
-  detectDeadPeer(Socket_);
+  detectDeadPeer(Socket_, BulkUnacknowledged);
   IdleSince_ = std::chrono::steady_clock::now();
   Callback(success());
   read();
--- a/src/Transport/HttpGet.cpp
+++ b/src/Transport/HttpGet.cpp
@@ -56,7 +56,7 @@
 
 private:
   void write() {
-    detectDeadPeer(Stream_.socket());
+    detectDeadPeer(Stream_.socket(), ShortUnacknowledged);
     Message_.version(11);
     Message_.method(http::verb::get);
     Message_.target(Request_.Target_);
--- a/src/Transport/PeerConnection.h
+++ b/src/Transport/PeerConnection.h
@@ -46,6 +46,8 @@
   Duration Idle_ = std::chrono::seconds(60);
 };
 
+class EgressPacer;
+
 /// What a node needs for all its peer connections.
 struct PeerOptions {
   /// XXH3 hash of the mesh name.
@@ -54,6 +56,8 @@
   std::function<HostRecord()> OwnRecord_;
   /// Counts malformed messages and open connections; may be null.
   MetricsRegistry *Metrics_ = nullptr;
+  /// Shares the host's link among its connections; may be null.
+  std::shared_ptr<EgressPacer> Pacer_ = nullptr;
   /// Limits.
   PeerLimits Limits_;
 };
--- a/src/Transport/PeerLink.cpp
+++ b/src/Transport/PeerLink.cpp
@@ -1,13 +1,13 @@
 #include "Transport/PeerLink.h"
 
+#include "Transport/DeadPeer.h"
+#include "Transport/EgressPacer.h"
+
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/write.hpp>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <cstring>
 
 namespace marigold::transport {
@@ -25,10 +25,6 @@
 // Bytes of one write. Larger batches save system calls but let a control
 // frame wait longer behind data.
 constexpr std::size_t BatchLimit = std::size_t{64} * 1024;
-// Unacknowledged data older than this ends the connection, so that a peer that
-// vanished is noticed before the kernel's default of about 15 minutes.
-constexpr unsigned UserTimeoutMs = 10'000;
-
 // Beyond this number a connection opens no streams any more, so that numbers
 // never wrap. The margin covers calls that are being submitted.
 constexpr std::uint32_t LastStream = 0xffff0000;
@@ -45,6 +41,14 @@
   return Length;
 }
 
+/// Size from which a body is sent piece by piece when the link allows it: one
+/// piece.
+constexpr std::size_t BulkBytes = std::size_t{16} * 1024;
+
+bool isBulk(const std::shared_ptr<const std::string> &Body) {
+  return Body && Body->size() > BulkBytes;
+}
+
 } // namespace
 
 std::string makeFrame(MessageType Type, std::string_view Body) {
@@ -67,8 +71,7 @@
 void PeerLink::start() {
   boost::system::error_code Ignored;
   Socket_.set_option(tcp::no_delay(true), Ignored);
-  ::setsockopt(Socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-               &UserTimeoutMs, sizeof(UserTimeoutMs));
+  detectDeadPeer(Socket_, BulkUnacknowledged);
   sendControl(
       makeFrame(MessageType::Hello,
                 encodeBody(Hello{PeerProtocolVersion, Options_.Mesh_,
@@ -220,8 +223,10 @@
     QueuedBodies_ += Entry.Body_->size();
   Entry.Credit_ = Options_.Limits_.Window_;
   Entry.Queued_ = true;
+  if (isBulk(Entry.Body_))
+    addBacklog(static_cast<std::int64_t>(Entry.Body_->size()));
+  readyQueue(Entry).push_back(Stream);
   Outgoing_.insert_or_assign(Stream, std::move(Entry));
-  Ready_.push_back(Stream);
 }
 
 void PeerLink::dropOutgoing(std::uint32_t Stream) {
@@ -231,13 +236,43 @@
   const Outgoing &Entry = Position->second;
   if (Entry.Body_)
     QueuedBodies_ -= Entry.Body_->size();
+  if (isBulk(Entry.Body_))
+    addBacklog(static_cast<std::int64_t>(Entry.Offset_) -
+               static_cast<std::int64_t>(Entry.Body_->size()));
   // Ready_ may still hold the number; appendStreamPiece skips it.
   Outgoing_.erase(Position);
 }
 
-bool PeerLink::appendStreamPiece() {
-  std::uint32_t Stream = Ready_.front();
-  Ready_.pop_front();
+std::deque<std::uint32_t> &PeerLink::readyQueue(const Outgoing &Entry) {
+  return isBulk(Entry.Body_) ? ReadyBulk_ : Ready_;
+}
+
+void PeerLink::addBacklog(std::int64_t Bytes) {
+  if (Options_.Pacer_)
+    Options_.Pacer_->addBacklog(Bytes);
+}
+
+bool PeerLink::mayWriteBulk() {
+  if (!Options_.Pacer_)
+    return true;
+  if (WaitsForTurn_)
+    return false;
+  if (Options_.Pacer_->allow(Options_.Limits_.Chunk_))
+    return true;
+  WaitsForTurn_ = true;
+  Options_.Pacer_->waitTurn([Weak = weak_from_this()] {
+    if (auto Self = Weak.lock())
+      asio::post(Self->Socket_.get_executor(), [Self] {
+        Self->WaitsForTurn_ = false;
+        Self->flush();
+      });
+  });
+  return false;
+}
+
+bool PeerLink::appendStreamPiece(std::deque<std::uint32_t> &Queue) {
+  std::uint32_t Stream = Queue.front();
+  Queue.pop_front();
   auto Position = Outgoing_.find(Stream);
   if (Position == Outgoing_.end())
     return false;
@@ -270,6 +305,8 @@
     Part.Size_ = Size;
     Entry.Offset_ += Size;
     Entry.Credit_ -= Size;
+    if (isBulk(Entry.Body_))
+      addBacklog(-static_cast<std::int64_t>(Size));
   }
   bool Finished = Entry.Offset_ == Total;
   std::string Tail = Finished ? std::move(Entry.Tail_) : std::string();
@@ -284,7 +321,7 @@
     dropOutgoing(Stream);
   } else if (Again) {
     Entry.Queued_ = true;
-    Ready_.push_back(Stream);
+    Queue.push_back(Stream);
   }
   return true;
 }
@@ -302,7 +339,11 @@
     Control_.pop_front();
   }
   while (!Ready_.empty() && BatchBytes_ < BatchLimit)
-    appendStreamPiece();
+    appendStreamPiece(Ready_);
+  if (Options_.Pacer_ && BatchBytes_ != 0)
+    Options_.Pacer_->charge(BatchBytes_);
+  while (!ReadyBulk_.empty() && BatchBytes_ < BatchLimit && mayWriteBulk())
+    appendStreamPiece(ReadyBulk_);
   if (Pieces_.empty())
     return;
   for (const Piece &Part : Pieces_) {
@@ -383,7 +424,11 @@
     if (Entry.Complete_)
       Handler_.onCallCancel(Self, Stream);
   Outgoing_.clear();
+  // What was not sent leaves the backlog of the link.
+  while (!Outgoing_.empty())
+    dropOutgoing(Outgoing_.begin()->first);
   Ready_.clear();
+  ReadyBulk_.clear();
   Control_.clear();
   updateStreamCount();
   if (WasOpen)
--- a/src/Transport/PeerLink.h
+++ b/src/Transport/PeerLink.h
@@ -145,7 +145,10 @@
   void refuseOnStrand(const CallRefused &Refusal);
   void dropOutgoing(std::uint32_t Stream);
   void flush();
-  bool appendStreamPiece();
+  std::deque<std::uint32_t> &readyQueue(const Outgoing &Entry);
+  bool mayWriteBulk();
+  void addBacklog(std::int64_t Bytes);
+  bool appendStreamPiece(std::deque<std::uint32_t> &Queue);
   void onWritten(boost::system::error_code Error);
 
   void armTimer(Duration Delay);
@@ -184,7 +187,10 @@
   std::size_t Receiving_ = 0;
 
   std::unordered_map<std::uint32_t, Outgoing> Outgoing_;
+  /// Streams with something to write, those with a large body apart.
   std::deque<std::uint32_t> Ready_;
+  std::deque<std::uint32_t> ReadyBulk_;
+  bool WaitsForTurn_ = false;
   std::size_t QueuedBodies_ = 0;
   std::deque<std::string> Control_;
   std::size_t ControlBytes_ = 0;
--- a/src/Transport/PeerStreams.cpp
+++ b/src/Transport/PeerStreams.cpp
@@ -453,7 +453,7 @@
     return unexpected("WindowUpdate beyond the window");
   if (!Entry.Queued_) {
     Entry.Queued_ = true;
-    Ready_.push_back(Value.Stream_);
+    readyQueue(Position->second).push_back(Value.Stream_);
   }
   return success();
 }
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -54,6 +54,7 @@
     "count": "std::uint64_t",
     "duration": "std::chrono::milliseconds",
     "ratio": "double",
+    "decimal": "double",
     "choice": "std::string",
     "flag": "bool",
 }
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,6 +10,14 @@
   clang-format -i "${sources[@]}"
   exit 0
 fi
+# Names on the platform's wire and in its settings are decoded in platform/.
+leaks=$(git grep -nE 'kv-(key|range|watch)|Marigolddale-|marigolddale-(request|deadline|caller|expect|not|response)|MARIGOLDDALE_CONFIG|goal_latency_s|cold_left_s|traffic_split|max_header_bytes' \
+  -- src programs unittests schema || true)
+if [ -n "$leaks" ]; then
+  echo "lint: names of the platform outside platform/:"
+  echo "$leaks"
+  exit 1
+fi
 clang-format --dry-run -Werror "${sources[@]}"
 /usr/bin/python3 tools/generate.py --check
 [ -f build/compile_commands.json ] || {
--- a/unittests/Admission/LoadPatternTest.cpp
+++ b/unittests/Admission/LoadPatternTest.cpp
@@ -26,7 +26,8 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(LoadPatternFixture, "load below the slots is served in time") {
+TEST_CASE_FIXTURE(LoadPatternFixture,
+                  "load below the slots is served in time") {
   Lookup_.Rate_ = 40;
   LoadResult Lookups = replay({Lookup_})[0];
   CHECK(Lookups.Timely_ >= Lookups.Offered_ * 98 / 100);
--- a/unittests/Calls/PatienceTest.cpp
+++ b/unittests/Calls/PatienceTest.cpp
@@ -24,7 +24,8 @@
 }
 
 // Guards against a second run of a booking.
-TEST_CASE_FIXTURE(PatienceFixture, "attempt that must not repeat has no limit") {
+TEST_CASE_FIXTURE(PatienceFixture,
+                  "attempt that must not repeat has no limit") {
   Timing_.Repeatable_ = false;
   CHECK_FALSE(attemptLimit(Timing_));
 }
--- a/unittests/Config/VirtualHostTest.cpp
+++ b/unittests/Config/VirtualHostTest.cpp
@@ -30,9 +30,8 @@
   }
 
   ErrorCode errorOf(const std::string &Hosts) {
-    auto Model = parseText("epoch: 1\nmesh: m\nservices: {desk: }\nhosts: " +
-                               Hosts,
-                           "text");
+    auto Model = parseText(
+        "epoch: 1\nmesh: m\nservices: {desk: }\nhosts: " + Hosts, "text");
     REQUIRE_FALSE(Model);
     return Model.error().front().Code_;
   }
@@ -108,8 +107,8 @@
   auto Image = fromImage(toImage(*New));
   REQUIRE(Image);
   CHECK(Image.value()->digest() == New->digest());
-  auto Back = applyDelta(*New, makeDelta(*New, *buildSnapshot(toModel(*Old),
-                                                              {1, 9})));
+  auto Back =
+      applyDelta(*New, makeDelta(*New, *buildSnapshot(toModel(*Old), {1, 9})));
   REQUIRE(Back);
   CHECK(Back.value()->digest() == Old->digest());
 }
--- a/unittests/Membership/TargetDirectoryTest.cpp
+++ b/unittests/Membership/TargetDirectoryTest.cpp
@@ -38,8 +38,9 @@
 } // namespace
 
 // Guards against a target that stays in the choice after it was taken away.
-TEST_CASE_FIXTURE(DirectoryFixture,
-                  "directory without an outage drops a missing target at once") {
+TEST_CASE_FIXTURE(
+    DirectoryFixture,
+    "directory without an outage drops a missing target at once") {
   Directory_.apply({target("a", 1), target("b", 2)}, Now_);
   Directory_.apply({target("b", 2)}, Now_);
   CHECK(instances() == Names{"b"});
@@ -47,8 +48,9 @@
 }
 
 // Guards against an empty pool when entries lapse while the store is down.
-TEST_CASE_FIXTURE(DirectoryFixture,
-                  "directory after an outage keeps missing targets for a grace") {
+TEST_CASE_FIXTURE(
+    DirectoryFixture,
+    "directory after an outage keeps missing targets for a grace") {
   Directory_.apply({target("a", 1), target("b", 2)}, Now_);
   Directory_.onSourceFailure();
   Now_ += seconds(5);
--- a/unittests/Node/MeshFixture.h
+++ b/unittests/Node/MeshFixture.h
@@ -22,6 +22,7 @@
   std::mutex Mutex_;
   std::shared_ptr<const config::Snapshot> Snapshot_;
   std::map<HostId, HostRecord> Hosts_;
+  HttpDialect Dialect_;
   std::atomic<std::uint64_t> Generation_ = 1;
 };
 
@@ -35,12 +36,14 @@
   std::vector<HostRecord> hostsOfService(std::string_view Service) override;
   CallGate gate() const override { return Gate_; }
   HostRecord ownRecord() const override;
+  OwnTarget ownTarget() const override;
   void reportHostFailure(const HostId &) override { ++Failures_; }
   void ownStateChanged(HostState State) override;
   void sendCrashNotice(const CrashNotice &Notice) override;
 
   SharedView &View_;
   HostRecord Own_;
+  std::string Instance_;
   std::atomic<CallGate> Gate_ = CallGate::Open;
   std::atomic<int> Failures_ = 0;
   /// Changes of the own state are ignored while this is false, as callers see
--- /dev/null
+++ b/unittests/Node/RoutedCallTest.cpp
@@ -0,0 +1,227 @@
+#include "MeshFixture.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold::node {
+
+using transport::findHeader;
+using transport::HttpExchange;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+namespace {
+
+/// Two targets of service "desk" behind the virtual host "book.example", with
+/// header fields as another platform than marigolddale's own may name them.
+struct RoutedCallFixture : MeshFixture {
+  RoutedCallFixture() {
+    View_.Dialect_.RequestId_ = "x-id";
+    View_.Dialect_.Deadline_ = "x-limit";
+    View_.Dialect_.Depth_ = "";
+    View_.Dialect_.CallerService_ = "x-caller";
+    View_.Dialect_.ExpectedInstance_ = "x-instance";
+    View_.Dialect_.NotRun_ = "x-not-run";
+    View_.Dialect_.Signature_ = "x-signature";
+    publish(std::chrono::seconds(30));
+  }
+  // The targets end before the threads that serve them.
+  ~RoutedCallFixture() {
+    Threads_.stop();
+    Nodes_.clear();
+    Targets_.clear();
+  }
+
+  /// Publishes routes with this latency objective.
+  void publish(std::chrono::milliseconds Objective) {
+    config::ServiceModel Model = config::toModel(*View_.Snapshot_);
+    HostRoute Read = config::defaultHostRoute();
+    Read.Prefix_ = "/dates/";
+    Read.Repeatable_ = true;
+    Read.Deadline_ = std::chrono::seconds(60);
+    Read.Objective_ = Objective;
+    Read.Attempts_ = 2;
+    Read.Targets_ = {{"desk", 1}};
+    HostRoute Book = Read;
+    Book.Prefix_ = "/visits/";
+    Book.Repeatable_ = false;
+    Model.Hosts_ = {{"book.example", {Read, Book}}};
+    View_.Snapshot_ = config::buildSnapshot(std::move(Model), {1, 2});
+  }
+
+  TestNode &addTarget(FakeTarget::Handler Answer) {
+    Targets_.push_back(
+        std::make_unique<FakeTarget>(Threads_.Io_, std::move(Answer)));
+    return addNode(Targets_.back()->port());
+  }
+
+  int runs() const {
+    int Sum = 0;
+    for (const auto &Target : Targets_)
+      Sum += Target->Runs_;
+    return Sum;
+  }
+
+  static std::string call(const TestNode &Node, const std::string &Method,
+                          const std::string &Path) {
+    RawConnection Connection(Node.callerPort());
+    Connection.send(Method + " " + Path +
+                    " HTTP/1.1\r\nHost: book.example\r\nX-Id: q1\r\n"
+                    "X-Caller: forged\r\nContent-Length: 0\r\n\r\n");
+    return Connection.receiveHttp();
+  }
+
+  static HttpResponse signedAnswer(const HttpRequest &Request) {
+    HttpResponse Response;
+    Response.Headers_ = {
+        {"x-id", std::string(findHeader(Request.Headers_, "x-id"))},
+        {"x-signature", "s"}};
+    Response.Body_ = "done";
+    return Response;
+  }
+
+  std::vector<std::unique_ptr<FakeTarget>> Targets_;
+};
+
+} // namespace
+
+// Guards against a target that runs what was meant for another, and against a
+// caller that passes itself off as another service.
+TEST_CASE_FIXTURE(RoutedCallFixture,
+                  "routed call names caller, instance and time left") {
+  Waiter<HttpRequest> Got;
+  TestNode &Node =
+      addTarget([&](HttpRequest Request, std::shared_ptr<HttpExchange> Out) {
+        Out->respond(signedAnswer(Request));
+        Got.set(std::move(Request));
+      });
+  {
+    std::lock_guard Lock(View_.Mutex_);
+    Node.Environment_.Instance_ = "i-7";
+  }
+  Node.Target_->onOwnTarget(Node.Environment_.ownTarget());
+  std::string Answer = call(Node, "POST", "/visits/9?a=b");
+  CHECK(statusOf(Answer) == 200);
+  CHECK(bodyOf(Answer) == "done");
+  auto Request = Got.take();
+  REQUIRE(Request);
+  CHECK(Request->Target_ == "/visits/9?a=b");
+  CHECK(Request->Host_ == "book.example");
+  CHECK(findHeader(Request->Headers_, "x-caller") == "desk");
+  CHECK(findHeader(Request->Headers_, "x-instance") == "i-7");
+  CHECK(findHeader(Request->Headers_, "x-id") == "q1");
+  CHECK(!findHeader(Request->Headers_, "x-limit").empty());
+  CHECK(statusOf(call(Node, "GET", "/other/1")) == 404);
+}
+
+// Guards against a refusal of a booking that another target could have run,
+// and against a second run.
+TEST_CASE_FIXTURE(RoutedCallFixture,
+                  "routed call that a target did not run goes to another") {
+  std::atomic<int> Asked = 0;
+  auto Answer = [&](HttpRequest Request, std::shared_ptr<HttpExchange> Out) {
+    if (Asked++ != 0) {
+      Out->respond(signedAnswer(Request));
+      return;
+    }
+    HttpResponse Refusal;
+    Refusal.Status_ = 503;
+    Refusal.Headers_ = {{"x-id", "q1"}, {"x-not-run", "1"}};
+    Out->respond(std::move(Refusal));
+  };
+  addTarget(Answer);
+  addTarget(Answer);
+  CHECK(statusOf(call(addCallerNode(), "POST", "/visits/9")) == 200);
+  CHECK(runs() == 2);
+}
+
+// Guards against bytes of unknown origin that pass for an answer.
+TEST_CASE_FIXTURE(RoutedCallFixture,
+                  "success without a signature is not passed on") {
+  addTarget([](const HttpRequest &, std::shared_ptr<HttpExchange> Out) {
+    HttpResponse Unsigned;
+    Unsigned.Headers_ = {{"x-id", "q1"}};
+    Out->respond(std::move(Unsigned));
+  });
+  std::string Answer = call(addCallerNode(), "POST", "/visits/9");
+  CHECK(statusOf(Answer) == 502);
+  CHECK(fieldOf(Answer, "x-marigold-outcome") == "unknown");
+  CHECK(runs() == 1);
+}
+
+// Guards against new work for a target that the platform takes away, and
+// against a refusal that does not say when to come back.
+TEST_CASE_FIXTURE(RoutedCallFixture, "leaving target is refused as not run") {
+  TestNode &Node = addTarget(nullptr);
+  OwnTarget Leaving = Node.Environment_.ownTarget();
+  Leaving.Leaving_ = true;
+  Node.Target_->onOwnTarget(Leaving);
+  std::string Answer = call(Node, "POST", "/visits/9");
+  CHECK(statusOf(Answer) == 503);
+  CHECK(fieldOf(Answer, "x-marigold-outcome") == "not-run");
+  CHECK(!fieldOf(Answer, "retry-after").empty());
+  CHECK(runs() == 0);
+}
+
+// Guards against a lookup that fails at its deadline because the first target
+// hangs, and against work that goes on after the answer was given.
+TEST_CASE_FIXTURE(RoutedCallFixture,
+                  "repeatable call that takes long is answered by another") {
+  publish(std::chrono::milliseconds(10));
+  std::atomic<int> Asked = 0;
+  std::atomic<bool> Cancelled = false;
+  std::mutex Mutex;
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  auto Answer = [&](HttpRequest Request, std::shared_ptr<HttpExchange> Out) {
+    if (Asked++ != 0) {
+      Out->respond(signedAnswer(Request));
+      return;
+    }
+    Out->onDisconnect([&] { Cancelled = true; });
+    std::lock_guard Lock(Mutex);
+    Held.push_back(std::move(Out));
+  };
+  addTarget(Answer);
+  addTarget(Answer);
+  CHECK(statusOf(call(addCallerNode(), "GET", "/dates/1")) == 200);
+  CHECK(eventually([&] { return Cancelled.load(); }));
+  CHECK(runs() == 2);
+}
+
+// Guards against a client that is told of a failure although another target
+// would have answered.
+TEST_CASE_FIXTURE(RoutedCallFixture,
+                  "repeatable call that a target failed goes to another") {
+  std::atomic<int> Asked = 0;
+  auto Answer = [&](HttpRequest Request, std::shared_ptr<HttpExchange> Out) {
+    HttpResponse Response = signedAnswer(Request);
+    if (Asked++ == 0)
+      Response.Status_ = 500;
+    Out->respond(std::move(Response));
+  };
+  addTarget(Answer);
+  addTarget(Answer);
+  CHECK(statusOf(call(addCallerNode(), "GET", "/dates/1")) == 200);
+  CHECK(runs() == 2);
+}
+
+// Guards against calls that a stopping node leaves without an answer.
+TEST_CASE_FIXTURE(RoutedCallFixture,
+                  "open call of an ending node is answered") {
+  std::mutex Mutex;
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  TestNode &Node =
+      addTarget([&](const HttpRequest &, std::shared_ptr<HttpExchange> Out) {
+        std::lock_guard Lock(Mutex);
+        Held.push_back(std::move(Out));
+      });
+  RawConnection Connection(Node.callerPort());
+  Connection.send("POST /visits/9 HTTP/1.1\r\nHost: book.example\r\n"
+                  "X-Id: q1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(eventually([&] { return runs() == 1; }));
+  Node.Callers_->endOpen();
+  std::string Answer = Connection.receiveHttp();
+  CHECK(statusOf(Answer) == 504);
+  CHECK(fieldOf(Answer, "x-marigold-outcome") == "unknown");
+}
+
+} // namespace marigold::node
--- a/unittests/Routing/WeightedSplitTest.cpp
+++ b/unittests/Routing/WeightedSplitTest.cpp
@@ -56,7 +56,8 @@
   CHECK(First < 200);
 }
 
-TEST_CASE_FIXTURE(SplitFixture, "split matches only the weights it was made for") {
+TEST_CASE_FIXTURE(SplitFixture,
+                  "split matches only the weights it was made for") {
   std::vector<WeightedService> Targets{{"a", 90}, {"b", 10}};
   WeightedSplit Split(Targets, Rng_);
   CHECK(Split.matches(Targets));
--- a/unittests/Support/SettingsParserTest.cpp
+++ b/unittests/Support/SettingsParserTest.cpp
@@ -83,8 +83,7 @@
   REQUIRE(Parsed);
   CHECK(Parsed.value().Settings_.Threads_ == 5);
   CHECK(Parsed.value().Settings_.Subset_ == 3);
-  CHECK(Parsed.value().Settings_.StopGrace_ ==
-        std::chrono::milliseconds(2500));
+  CHECK(Parsed.value().Settings_.StopGrace_ == std::chrono::milliseconds(2500));
   std::ofstream(Path) << "treads = 5\n";
   auto Misspelt = parse({Flag.c_str()});
   REQUIRE_FALSE(Misspelt);
