Bound the fleet's bursts of retries; fixed gap between reads of the host list

Ruled out: retries through a chain (the second attempts were at one level).

The gap between two reads of the host list varies by 10 % instead of 50 %, so that it can be near the bound for a drain.

--- a/src/Distribution/SourceReader.cpp
+++ b/src/Distribution/SourceReader.cpp
@@ -10,6 +10,10 @@
 
 constexpr Duration TakeoverDraw = std::chrono::seconds(1);
 
+// Spread of the time between two reads of the host list, in percent of its
+// mean, so that nodes which read the same change drift apart.
+constexpr int HostsJitter = 10;
+
 // A node that is no reader fetches behind about as many readers.
 constexpr int TakeoverSteps = 8;
 
@@ -112,8 +116,8 @@
 
 void SourceReader::onHosts(TimePoint Now) {
   HostsRunning_ = false;
-  NextHosts_ =
-      Now + Options_.HostsInterval_ / 2 + Rng_.upTo(Options_.HostsInterval_);
+  NextHosts_ = Now + Options_.HostsInterval_ * (100 - HostsJitter) / 100 +
+               Rng_.upTo(Options_.HostsInterval_ * 2 * HostsJitter / 100);
   HostsBackoff_.reset();
   Confirmation_.confirm(Now);
 }
--- a/src/Node/CallerPools.cpp
+++ b/src/Node/CallerPools.cpp
@@ -85,6 +85,7 @@
   Values.SlowStart_ = Service.SlowStart_;
   calls::RetryBudgetSettings Budget;
   Budget.Ratio_ = Settings_.RetryRatio_;
+  Budget.Burst_ = static_cast<double>(Settings_.RetryBurst_);
   calls::RetryBudgetSettings Redirects;
   Redirects.Ratio_ = Settings_.RedirectRatio_;
   TimePoint Now = std::chrono::steady_clock::now();
