Remember files that clang-tidy has passed

Change: tools/tidy.py skips a file whose preprocessed text, checks and version have passed before; a file with a finding is analysed each time.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -31,6 +31,4 @@
   mapfile -t units < <(git ls-files '*.cpp')
 fi
 [ ${#units[@]} -eq 0 ] && exit 0
-printf '%s\n' "${units[@]}" |
-  xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet \
-  --extra-arg=-Wno-unknown-warning-option 2>/dev/null
+tools/tidy.py "${units[@]}"
