--- a/src/Transport/HttpGet.cpp
+++ b/src/Transport/HttpGet.cpp
@@ -14,6 +14,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace marigold::transport {
 
 namespace asio = boost::asio;
@@ -34,7 +36,8 @@
     asio::post(Stream_.get_executor(), [Self = shared_from_this()] {
       if (!Self->Done_)
         return;
-      Self->Stream_.expires_after(Self->Request_.Timeout_);
+      Self->Stream_.expires_after(
+          std::min(Self->Request_.ConnectTimeout_, Self->Request_.Timeout_));
       const Address &Server = Self->Request_.Server_;
       Self->Stream_.async_connect(
           tcp::endpoint(asio::ip::address_v4(Server.Ipv4_), Server.Port_),
@@ -56,6 +59,7 @@
 
 private:
   void write() {
+    Stream_.expires_after(Request_.Timeout_);
     detectDeadPeer(Stream_.socket(), ShortUnacknowledged);
     Message_.version(11);
     Message_.method(http::verb::get);
--- a/src/Transport/HttpGet.h
+++ b/src/Transport/HttpGet.h
@@ -21,6 +21,10 @@
   /// Time for everything from the connection to the end of the response. For a
   /// blocking read, the wait named in the query plus a margin.
   Duration Timeout_ = std::chrono::seconds(5);
+  /// Time for the connection to open, within Timeout_. A server that just came
+  /// back has not seen the packets that were sent before, and the kernel sends
+  /// them again only after a second or more.
+  Duration ConnectTimeout_ = std::chrono::seconds(5);
   /// Largest response body in bytes.
   std::uint64_t Limit_ = std::size_t{2} * 1024 * 1024;
 };
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -315,7 +315,11 @@
     CAPTURE(Case.Name_);
     Waiter<Result<HttpGetResponse>> Got;
     httpGet(Threads_.Io_,
-            {{Loopback, Listener_.port()}, "/v1/kv/k?raw", TestGuard, 100},
+            {{Loopback, Listener_.port()},
+             "/v1/kv/k?raw",
+             TestGuard,
+             TestGuard,
+             100},
             [&](Result<HttpGetResponse> Value) { Got.set(std::move(Value)); });
     RawConnection Server = Listener_.accept();
     CHECK(Server.receiveHttp().starts_with("GET /v1/kv/k?raw HTTP/1.1\r\n"));
@@ -343,6 +347,7 @@
         {{Loopback, Listener_.port()},
          "/",
          Cancel ? Duration(TestGuard) : std::chrono::milliseconds(50),
+         TestGuard,
          100},
         [&](Result<HttpGetResponse> Value) { Got.set(std::move(Value)); });
     RawConnection Server = Listener_.accept();
