Read a hedge's state under the lock; one function for the state after a run

Cause: CallerCall::hedge chose the second host from the list of tried ones and looked whether the hedge was made without the call's lock; with several threads another event may change both. The state of an attempt that may have run was put together in two places.

No decision changes.

--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -394,26 +394,27 @@
 
 void CallerCall::hedge(unsigned Attempt) {
   calls::AttemptState State;
+  std::vector<HostId> Tried;
   {
     std::lock_guard Lock(Mutex_);
     if (Ended_ || Tracker_.attempts() != Attempt || Hedge_)
       return;
     AttemptEnd_ = TimePoint::max();
     armTimer();
-    State = attemptState(ErrorCode::AttemptAbandoned);
-    ++State.UnknownAttempts_;
-    ++State.ReachedTargets_;
-    State.MayHaveRun_ = true;
+    State = stateAfterRun(ErrorCode::AttemptAbandoned);
+    Tried = Tried_;
   }
   TimePoint Now = std::chrono::steady_clock::now();
   if (!State_->retry(State, Deadline_, Now).Retry_)
     return;
-  auto Chosen = State_->choose(Tried_, Now);
+  auto Chosen = State_->choose(Tried, Now);
   if (!Chosen)
     return;
+  bool Late = false;
   {
     std::lock_guard Lock(Mutex_);
-    if (!Ended_) {
+    Late = Ended_;
+    if (!Late) {
       Hedge_.emplace();
       Hedge_->Host_ = Chosen.value();
       // The last one is the host of the attempt that goes on.
@@ -421,7 +422,7 @@
       ++ReachedTargets_;
     }
   }
-  if (!Hedge_) {
+  if (Late) {
     State_->onResult(Chosen.value(), {ErrorCode::Cancelled, false, {}, {}},
                      Now);
     return;
@@ -690,6 +691,14 @@
   respond(std::move(Reply));
 }
 
+calls::AttemptState CallerCall::stateAfterRun(ErrorCode Reason) const {
+  calls::AttemptState State = attemptState(Reason);
+  ++State.UnknownAttempts_;
+  ++State.ReachedTargets_;
+  State.MayHaveRun_ = true;
+  return State;
+}
+
 bool CallerCall::retryAnswer(unsigned Attempt, transport::PeerReply &Reply) {
   calls::AttemptState State;
   {
@@ -697,10 +706,7 @@
     if (Ended_ || Tracker_.attempts() != Attempt || !Start_.Routed_ ||
         Fallback_ || Hedge_)
       return false;
-    State = attemptState(ErrorCode::TargetLost);
-    ++State.UnknownAttempts_;
-    ++State.ReachedTargets_;
-    State.MayHaveRun_ = true;
+    State = stateAfterRun(ErrorCode::TargetLost);
   }
   if (!State_->retry(State, Deadline_, std::chrono::steady_clock::now()).Retry_)
     return false;
--- a/src/Node/CallerCall.h
+++ b/src/Node/CallerCall.h
@@ -129,6 +129,9 @@
   /// State of the request after an attempt that ended with Reason. Call with
   /// the lock held.
   calls::AttemptState attemptState(ErrorCode Reason) const;
+  /// The same for an attempt that reached a target, where it may have run, and
+  /// that is not counted yet. Call with the lock held.
+  calls::AttemptState stateAfterRun(ErrorCode Reason) const;
   /// Sends a repeatable request that a target answered with a server error to
   /// another target and keeps the answer for the case that none does better.
   bool retryAnswer(unsigned Attempt, transport::PeerReply &Reply);
