--- a/src/Membership/HostListMerger.h
+++ b/src/Membership/HostListMerger.h
@@ -25,6 +25,8 @@
   /// All targets, on platforms that list them; authoritative for the choice of
   /// targets. Nothing on platforms that only list hosts.
   std::optional<std::vector<ListedTarget>> Targets_ = {};
+  /// Entries that could not be used since the list before.
+  std::size_t Unusable_ = 0;
 };
 
 /// Turns reads of the host list into records to merge. The list lags, so it
--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -237,6 +237,8 @@
   Start_.Depth_ = static_cast<std::uint8_t>(Depth);
   Start_.Repeatable_ = Route && Route.value()->Repeatable_ && !Keyed;
   Start_.Priority_ = Route ? Route.value()->Priority_ : Priority::Normal;
+  if (Route)
+    RouteName_ = Route.value()->Path_;
   takeMessage();
   return success();
 }
@@ -277,8 +279,8 @@
   MaxTargets_ = Route->Attempts_;
   Start_.Service_ = Service_->Name_;
   Start_.Host_ = Request_.Host_;
-  Start_.Kind_ =
-      static_cast<std::uint32_t>(hash64(Request_.Host_ + Route->Prefix_));
+  RouteName_ = Request_.Host_ + Route->Prefix_;
+  Start_.Kind_ = static_cast<std::uint32_t>(hash64(RouteName_));
   Start_.Routed_ = true;
   Start_.Caller_ = Parts.Environment_.ownTarget().ConfiguredService_;
   Start_.Method_ = Request_.Method_;
@@ -737,7 +739,7 @@
   if (Latency > Objective)
     State_->Counters_.Slow_.fetch_add(1, std::memory_order_relaxed);
   Context_->Parts_.Metrics_.observe(Metric::CallLatencySeconds, Latency,
-                                    Service_->Name_);
+                                    Service_->Name_, RouteName_);
   log(Outcome::Ok, Reply.Start_.Status_, "answered");
   HttpResponse Response;
   Response.Status_ = Reply.Start_.Status_;
--- a/src/Node/CallerCall.h
+++ b/src/Node/CallerCall.h
@@ -164,6 +164,8 @@
   CallStart Start_;
   /// Identifier that the caller gave; empty without one.
   std::string RequestId_;
+  /// Host and prefix, or path, of the route; empty without one.
+  std::string RouteName_;
   std::optional<HostId> Owner_;
   calls::Deadline Deadline_{TimePoint::max()};
   /// Time at which the latency objective is missed.
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -285,7 +285,10 @@
     sourceAnswered(distribution::SourceCall::Hosts);
     if (List.value().Targets_)
       logEvent(LogLevel::Info, "targets_read",
-               {{"targets", std::to_string(List.value().Targets_->size())}});
+               {{"targets", std::to_string(List.value().Targets_->size())},
+                {"unusable", std::to_string(List.value().Unusable_)}});
+    Parts_.Metrics_.add(Metric::ListedTargetsInvalidTotal,
+                        static_cast<std::int64_t>(List.value().Unusable_));
     decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
       Core.onSourceHosts(List.value(), Now, Out);
     });
--- a/src/Support/Metrics.cpp
+++ b/src/Support/Metrics.cpp
@@ -1,16 +1,11 @@
 #include "Support/Metrics.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace marigold {
 namespace {
 
-namespace acc = boost::accumulators;
-
-/// The P-square algorithm has no estimate before each of its markers, two for
-/// each quantile and three more, has a sample; it would show 0.
-constexpr std::size_t MinimumSamples = 2 * SummaryQuantiles.size() + 3;
-
 std::string escapeLabel(const std::string &Value) {
   std::string Escaped;
   for (char Character : Value) {
@@ -47,10 +42,10 @@
     return "counter";
   case MetricKind::Gauge:
     return "gauge";
-  case MetricKind::Summary:
+  case MetricKind::Histogram:
     break;
   }
-  return "summary";
+  return "histogram";
 }
 
 } // namespace
@@ -84,18 +79,20 @@
 }
 
 void MetricsRegistry::observe(Metric Which, Duration Sample,
-                              std::string_view First) {
+                              std::string_view First, std::string_view Second) {
   Family &Owner = family(Which);
-  MetricLabels Labels{std::string(First), std::string()};
+  MetricLabels Labels{std::string(First), std::string(Second)};
+  double Seconds = std::chrono::duration<double>(Sample).count();
+  std::size_t Bucket = static_cast<std::size_t>(
+      std::ranges::lower_bound(HistogramBounds, Seconds) -
+      HistogramBounds.begin());
   std::lock_guard Lock(Owner.Mutex_);
-  auto Position = Owner.Summaries_.find(Labels);
-  if (Position == Owner.Summaries_.end())
-    Position = Owner.Summaries_
-                   .emplace(std::move(Labels),
-                            Summary(acc::tag::extended_p_square::probabilities =
-                                        SummaryQuantiles))
-                   .first;
-  Position->second(std::chrono::duration<double>(Sample).count());
+  if (Owner.Histograms_.size() >= MaxHistogramSeries &&
+      !Owner.Histograms_.contains(Labels))
+    Labels.fill(std::string(OtherLabel));
+  Histogram &Samples = Owner.Histograms_[Labels];
+  ++Samples.Counts_[Bucket];
+  Samples.Sum_ += Seconds;
 }
 
 std::int64_t MetricsRegistry::total(Metric Which) const {
@@ -113,30 +110,37 @@
     const MetricInfo &Info = metricInfo(static_cast<Metric>(Index));
     const Family &Owner = *Families_[Index];
     std::lock_guard Lock(Owner.Mutex_);
-    if (Owner.Values_.empty() && Owner.Summaries_.empty())
+    if (Owner.Values_.empty() && Owner.Histograms_.empty())
       continue;
     std::string Name = "marigold_" + std::string(Info.Name_);
     Out << "# HELP " << Name << ' ' << Info.Help_ << "\n# TYPE " << Name << ' '
         << kindText(Info.Kind_) << '\n';
     for (const auto &[Labels, Value] : Owner.Values_)
       Out << Name << labelText(Info, Labels) << ' ' << Value.load() << '\n';
-    for (const auto &[Labels, Values] : Owner.Summaries_) {
-      auto Quantiles = acc::extended_p_square(Values);
-      std::size_t Shown =
-          acc::count(Values) < MinimumSamples ? 0 : SummaryQuantiles.size();
-      for (std::size_t Q = 0; Q < Shown; ++Q) {
-        std::ostringstream Quantile;
-        Quantile << "quantile=\"" << SummaryQuantiles[Q] << '"';
-        Out << Name << labelText(Info, Labels, Quantile.str()) << ' '
-            << Quantiles[static_cast<std::ptrdiff_t>(Q)] << '\n';
-      }
-      Out << Name << "_sum" << labelText(Info, Labels) << ' '
-          << acc::sum(Values) << '\n'
-          << Name << "_count" << labelText(Info, Labels) << ' '
-          << acc::count(Values) << '\n';
-    }
+    for (const auto &[Labels, Samples] : Owner.Histograms_)
+      render(Out, Name, Info, Labels, Samples);
   }
   return Out.str();
 }
 
+void MetricsRegistry::render(std::ostream &Out, const std::string &Name,
+                             const MetricInfo &Info, const MetricLabels &Labels,
+                             const Histogram &Samples) {
+  std::uint64_t Count = 0;
+  for (std::size_t Bucket = 0; Bucket < Samples.Counts_.size(); ++Bucket) {
+    Count += Samples.Counts_[Bucket];
+    std::ostringstream Bound;
+    if (Bucket < HistogramBounds.size())
+      Bound << HistogramBounds[Bucket];
+    else
+      Bound << "+Inf";
+    Out << Name << "_bucket"
+        << labelText(Info, Labels, "le=\"" + Bound.str() + "\"") << ' ' << Count
+        << '\n';
+  }
+  Out << Name << "_sum" << labelText(Info, Labels) << ' ' << Samples.Sum_
+      << '\n'
+      << Name << "_count" << labelText(Info, Labels) << ' ' << Count << '\n';
+}
+
 } // namespace marigold
