Answer requests that cross the end of the port

Two ways lead there on a host with a tenth of a core: a request that is unread, or arrives, as the idle connections are closed, and a connection that waits to be accepted. Ruled out: calls in progress (drain waits for them), the end of the grace (6 s). Change: connections that wait are accepted before the port closes; idle ones stay open for 300 ms more, and with unread bytes until these are answered. Before: both new tests get no answer. After: they pass.

--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -238,8 +238,12 @@
     PortTimer_.async_wait([this](const boost::system::error_code &Error) {
       if (Error)
         return;
-      PortClosed_ = true;
       Caller_.drain();
+      PortTimer_.expires_after(transport::HttpServer::CrossingTime);
+      PortTimer_.async_wait([this](const boost::system::error_code &Ended) {
+        if (!Ended)
+          PortClosed_ = true;
+      });
     });
     DrainTimer_.expires_after(drainLimit());
     DrainTimer_.async_wait([this](const boost::system::error_code &Error) {
--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -31,7 +31,7 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(asio::io_context &Io, HttpServerOptions Options)
-      : Listener_(Io), Sweep_(Io),
+      : Listener_(Io), Sweep_(Io), Crossing_(Io),
         Options_(
             std::make_shared<const HttpServerOptions>(std::move(Options))) {}
 
@@ -100,9 +100,20 @@
   }
 
   void drain() {
-    Listener_.stop();
-    for (const auto &Connection : connections())
-      Connection->drain();
+    beginDrain();
+    Listener_.finish();
+    std::lock_guard Lock(Mutex_);
+    if (Stopped_)
+      return;
+    Crossing_.expires_after(CrossingTime);
+    Crossing_.async_wait(
+        [Weak = weak_from_this()](boost::system::error_code Error) {
+          auto Self = Weak.lock();
+          if (Error || !Self)
+            return;
+          for (const auto &Connection : Self->connections())
+            Connection->drain();
+        });
   }
 
   void stop() {
@@ -111,6 +122,7 @@
       std::lock_guard Lock(Mutex_);
       Stopped_ = true;
       Sweep_.cancel();
+      Crossing_.cancel();
     }
     for (const auto &Connection : connections())
       Connection->close();
@@ -119,6 +131,7 @@
   Listener Listener_;
   std::mutex Mutex_;
   asio::steady_timer Sweep_;
+  asio::steady_timer Crossing_;
   const std::shared_ptr<const HttpServerOptions> Options_;
   std::shared_ptr<std::atomic<std::size_t>> Open_ =
       std::make_shared<std::atomic<std::size_t>>(0);
--- a/src/Transport/HttpServer.h
+++ b/src/Transport/HttpServer.h
@@ -69,8 +69,13 @@
   /// connections are accepted, idle ones stay open.
   void beginDrain();
 
-  /// Stops accepting and closes idle connections; requests in progress are
-  /// answered and their connections closed after that.
+  /// Time for which idle connections stay open after drain: a request that a
+  /// client has sent before it hears of the close is still answered. Above the
+  /// delay of a loaded link.
+  static constexpr std::chrono::milliseconds CrossingTime{300};
+
+  /// Stops accepting and, after CrossingTime, closes idle connections; requests
+  /// in progress are answered and their connections closed after that.
   void drain();
 
   /// Stops accepting and closes all connections.
--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -361,7 +361,9 @@
 void HttpServerConnection::drain() {
   asio::dispatch(Socket_.get_executor(), [Self = shared_from_this()] {
     Self->Draining_ = true;
-    if (Self->Phase_ == Phase::Head && !Self->Parser_)
+    boost::system::error_code Ignored;
+    bool Unread = Self->Socket_.available(Ignored) > 0;
+    if (Self->Phase_ == Phase::Head && !Self->Parser_ && !Unread)
       Self->shutDown();
     else if (Self->Phase_ == Phase::Writing)
       Self->KeepAlive_ = false;
--- a/src/Transport/Listener.cpp
+++ b/src/Transport/Listener.cpp
@@ -51,10 +51,11 @@
         asio::make_strand(Io_),
         [Self = shared_from_this()](boost::system::error_code Error,
                                     tcp::socket Socket) {
+          if (!Error)
+            Self->OnAccepted_(std::move(Socket));
           if (Self->Stopped_)
             return;
           if (!Error) {
-            Self->OnAccepted_(std::move(Socket));
             Self->accept();
             return;
           }
@@ -74,6 +75,28 @@
     });
   }
 
+  void finish() {
+    if (Stopped_.exchange(true))
+      return;
+    asio::dispatch(Acceptor_.get_executor(), [Self = shared_from_this()] {
+      Self->acceptWaiting();
+      boost::system::error_code Ignored;
+      Self->Acceptor_.close(Ignored);
+      Self->Pause_.cancel();
+    });
+  }
+
+  void acceptWaiting() {
+    boost::system::error_code Error;
+    Acceptor_.non_blocking(true, Error);
+    while (!Error) {
+      tcp::socket Socket(asio::make_strand(Io_));
+      Acceptor_.accept(Socket, Error);
+      if (!Error)
+        OnAccepted_(std::move(Socket));
+    }
+  }
+
   asio::io_context &Io_;
   tcp::acceptor Acceptor_;
   asio::steady_timer Pause_;
@@ -94,4 +117,6 @@
 
 void Listener::stop() { Impl_->stop(); }
 
+void Listener::finish() { Impl_->finish(); }
+
 } // namespace marigold::transport
--- a/src/Transport/Listener.h
+++ b/src/Transport/Listener.h
@@ -28,9 +28,13 @@
   /// Port that is listened on.
   std::uint16_t port() const;
 
-  /// Accepts no more and closes the listening socket.
+  /// Accepts no more and closes the listening socket. Connections that wait to
+  /// be accepted are reset.
   void stop();
 
+  /// Accepts the connections that wait and closes the listening socket.
+  void finish();
+
 private:
   class Impl;
   std::shared_ptr<Impl> Impl_;
--- /dev/null
+++ b/unittests/Distribution/CallPauseTest.cpp
@@ -0,0 +1,39 @@
+#include "Distribution/CallPause.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold::distribution {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct CallPauseFixture {
+  Duration Usual_ = milliseconds(1200);
+  std::uint64_t SmallAnswer_ = 4096;
+  /// A version of 257 KB in base64.
+  std::uint64_t LargeAnswer_ = 343'000;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(CallPauseFixture, "small answer leaves the usual pause") {
+  CHECK(callPause(Usual_, SmallAnswer_, 100) > Usual_ - milliseconds(1));
+  CHECK(callPause(Usual_, LargeAnswer_, 0) == Usual_);
+}
+
+// Guards against a change that becomes known after the bound of 2.5 s because
+// the pause and a large answer on a slow link add up.
+TEST_CASE_FIXTURE(CallPauseFixture,
+                  "large answer on a slow link shortens the pause") {
+  Duration Pause = callPause(Usual_, LargeAnswer_, 9);
+  CHECK(Pause < milliseconds(700));
+  CHECK(Pause > milliseconds(500));
+}
+
+// Guards against a negative pause, and one after answers that take longer than
+// the pause.
+TEST_CASE_FIXTURE(CallPauseFixture, "series of large answers leaves no pause") {
+  CHECK(callPause(Usual_, 3 * LargeAnswer_, 9) == Duration::zero());
+}
+
+} // namespace marigold::distribution
--- a/unittests/Transport/HttpServerTest.cpp
+++ b/unittests/Transport/HttpServerTest.cpp
@@ -4,7 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/post.hpp>
+
 #include <atomic>
+#include <thread>
 
 namespace marigold::transport {
 
@@ -231,4 +234,37 @@
   CHECK(fieldOf(Answer, "connection") == "close");
 }
 
+// Guards against a request that a client has sent when the port closes and that
+// ends without an answer although nothing ran.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "request that crosses the end of the port is answered") {
+  RawConnection Idle = connect();
+  Server_->drain();
+  Idle.send("GET /late HTTP/1.1\r\nHost: desk\r\n\r\n");
+  std::string Answer = Idle.receiveAll();
+  CHECK(statusOf(Answer) == 200);
+  CHECK(fieldOf(Answer, "connection") == "close");
+}
+
+// Replays a host without processor time: the connection and its request wait in
+// the kernel when the port closes.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "connection that waits to be accepted at the end is served") {
+  connect();
+  auto Busy = std::make_shared<std::atomic<bool>>(true);
+  for (int Thread = 0; Thread < 16; ++Thread)
+    boost::asio::post(Threads_.Io_, [Busy] {
+      while (*Busy)
+        std::this_thread::yield();
+    });
+  RawConnection First(Server_->port());
+  First.send("GET /1 HTTP/1.1\r\nHost: desk\r\n\r\n");
+  RawConnection Second(Server_->port());
+  Second.send("GET /2 HTTP/1.1\r\nHost: desk\r\n\r\n");
+  Server_->drain();
+  *Busy = false;
+  CHECK(statusOf(First.receiveAll()) == 200);
+  CHECK(statusOf(Second.receiveAll()) == 200);
+}
+
 } // namespace marigold::transport
