Say unknown for a keyed request at a node that is not ready

It answered not-run, as it does for requests without a key; the caller took a new key and the booking ran under both. Ruled out: the owner's table of keys (two keys in the targets' ledgers, one run each; a released key never runs). Change: a refusal before the owner was asked is key-owner-unreachable, whose outcome is unknown. The name of the key's field is part of the dialect; the users' platform has none. Before: the new test gets not-run. After: unknown, and the resend runs once.

--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::string_view KeyField = "idempotency-key";
 // Longest wait of a new call while the node checks its view after a pause, and
 // the interval at which the call looks again.
 constexpr auto GateWait = std::chrono::seconds(1);
@@ -140,7 +139,7 @@
     waitForGate(Request_.Arrival_ + GateWait);
     return;
   case CallGate::Closed:
-    refuse(ErrorCode::NotReady);
+    refuse(refusalBeforeOwner(ErrorCode::NotReady));
     return;
   }
 }
@@ -152,7 +151,7 @@
     return;
   }
   if (Gate == CallGate::Closed || std::chrono::steady_clock::now() >= Until) {
-    refuse(ErrorCode::NotReady);
+    refuse(refusalBeforeOwner(ErrorCode::NotReady));
     return;
   }
   Timer_.expires_after(GateInterval);
@@ -165,7 +164,7 @@
 void CallerCall::begin() {
   auto Prepared = prepare();
   if (!Prepared) {
-    refuse(Prepared.error().Code_);
+    refuse(refusalBeforeOwner(Prepared.error().Code_));
     return;
   }
   State_->onCall(Request_.Arrival_);
@@ -180,6 +179,19 @@
   attempt();
 }
 
+std::string_view CallerCall::requestKey() const {
+  const std::string &Name = Context_->Parts_.Dialect_.Key_;
+  return Name.empty() ? std::string_view()
+                      : findHeader(Request_.Headers_, Name);
+}
+
+ErrorCode CallerCall::refusalBeforeOwner(ErrorCode Code) const {
+  bool OwnerDecides =
+      Code == ErrorCode::NotReady || Code == ErrorCode::UnknownService;
+  return OwnerDecides && !requestKey().empty() ? ErrorCode::KeyOwnerUnreachable
+                                               : Code;
+}
+
 Result<void> CallerCall::prepare() {
   const CallerSideParts &Parts = Context_->Parts_;
   Snapshot_ = Parts.Environment_.snapshot();
@@ -188,7 +200,7 @@
   if (const VirtualHost *Host = Snapshot_->findHost(Request_.Host_))
     return prepareRouted(*Host);
   const HttpDialect &Dialect = Parts.Dialect_;
-  std::string_view Key = findHeader(Request_.Headers_, KeyField);
+  std::string_view Key = requestKey();
   bool Keyed = !Key.empty();
   if (Keyed) {
     BOOST_OUTCOME_TRY(auto Parsed,
--- a/src/Node/CallerCall.h
+++ b/src/Node/CallerCall.h
@@ -85,6 +85,11 @@
 private:
   /// Checks the request and fills in the call. Fails with the code of the
   /// refusal.
+  /// Key of the request; empty without one.
+  std::string_view requestKey() const;
+  /// The reason for refusing a request that was not passed on to its key's
+  /// owner: an earlier copy may have run there, which this node cannot tell.
+  ErrorCode refusalBeforeOwner(ErrorCode Code) const;
   Result<void> prepare();
   Result<void> prepareRouted(const VirtualHost &Host);
   /// Moves header fields and body into the call.
--- a/src/Node/HttpDialect.h
+++ b/src/Node/HttpDialect.h
@@ -11,6 +11,8 @@
   /// Identifier that the caller gave to the request. Targets repeat it in
   /// their answers.
   std::string RequestId_;
+  /// Key under which a request that may not be repeated is sent again.
+  std::string Key_ = "idempotency-key";
   /// Milliseconds for which the sender of the request will wait.
   std::string Deadline_ = "x-marigold-deadline-ms";
   /// Number of calls above this one.
--- a/unittests/Node/KeyTest.cpp
+++ b/unittests/Node/KeyTest.cpp
@@ -97,6 +97,24 @@
   CHECK(Target.Runs_ == 0);
 }
 
+// Guards against a booking that runs twice: its first copy is on the way to the
+// owner while the second one reaches a node that has just started.
+TEST_CASE_FIXTURE(MeshFixture,
+                  "keyed call at a node that is not ready is unknown") {
+  FakeTarget Target(Threads_.Io_);
+  TestNode &Owner = addNode(Target.port());
+  TestNode &Caller = addCallerNode();
+  std::string Field = keyField(Owner.Target_->issueKey("desk").value());
+  Caller.Environment_.Gate_ = CallGate::Closed;
+  std::string Answer = request(Caller, "POST", "/bookings", "x", Field);
+  CHECK(fieldOf(Answer, "x-marigold-outcome") == "unknown");
+  CHECK(fieldOf(Answer, "x-marigold-reason") == "key-owner-unreachable");
+  Caller.Environment_.Gate_ = CallGate::Open;
+  Answer = request(Caller, "POST", "/bookings", "x", Field);
+  CHECK(statusOf(Answer) == 200);
+  CHECK(Target.Runs_ == 1);
+}
+
 TEST_CASE_FIXTURE(MeshFixture, "admin server answers its paths") {
   MetricsRegistry Metrics;
   AdminServer Server(Threads_.Io_, Metrics);
