--- a/src/Node/NodeMain.cpp
+++ b/src/Node/NodeMain.cpp
@@ -4,9 +4,14 @@
 #include "Support/Log.h"
 #include "Support/SettingsParser.h"
 
+#include <csignal>
+
 namespace marigold::node {
 
 int runNode(int Argc, const char *const *Argv, PlatformAdapter Adapter) {
+  // A request to read the settings again may come while they are read for the
+  // first time; by default it would end the process.
+  std::signal(SIGHUP, SIG_IGN);
   int ExitCode = 0;
   auto Parsed = parseOrExplain<NodeSettings>(Argc, Argv, ExitCode);
   if (!Parsed)
--- a/tools/lib/soak.py
+++ b/tools/lib/soak.py
@@ -96,6 +96,15 @@
             time.sleep(0.01)
 
 
+def handles_hangup(process):
+    """Whether the process ignores or catches SIGHUP by now."""
+    bit = 1 << (signal.SIGHUP - 1)
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    masks = [int(line.split()[1], 16) for line in status.splitlines()
+             if line.startswith(("SigIgn:", "SigCgt:"))]
+    return any(mask & bit for mask in masks)
+
+
 class Soak:
     """One seed's run."""
 
@@ -168,6 +177,10 @@
             self.publish()
 
     def on_hangup(self, _kind, _number, host, _link, _length):
+        # Between exec and the first instruction of main the signal ends any
+        # process, which no program can change.
+        wait_until(lambda: handles_hangup(host.node), 10,
+                   f"node {host.ip} handles SIGHUP", pause=0.001)
         host.node.send_signal(signal.SIGHUP)
 
     def on_kill(self, kind, _number, host, _link, length):
