--- a/src/Admission/RunTimes.cpp
+++ b/src/Admission/RunTimes.cpp
@@ -12,7 +12,7 @@
 
 void RunTimes::learn(std::uint32_t Kind, Duration Latency) {
   All_.learn(Latency);
-  if (Kinds_.contains(Kind) || Kinds_.size() < MaxKinds)
+  if (Kinds_.contains(Kind) || Kinds_.size() < MaxKinds_)
     Kinds_[Kind].learn(Latency);
 }
 
--- a/src/Admission/RunTimes.h
+++ b/src/Admission/RunTimes.h
@@ -13,7 +13,7 @@
 class RunTimes {
 public:
   /// Kinds that are told apart; those beyond take the figures of all requests.
-  static constexpr std::size_t MaxKinds = 64;
+  static constexpr std::size_t MaxKinds_ = 64;
 
   /// Records the run of a request of the given kind.
   void learn(std::uint32_t Kind, Duration Latency);
--- a/src/Transport/HttpServer.h
+++ b/src/Transport/HttpServer.h
@@ -72,10 +72,10 @@
   /// Time for which idle connections stay open after drain: a request that a
   /// client has sent before it hears of the close is still answered. Above the
   /// delay of a loaded link.
-  static constexpr std::chrono::milliseconds CrossingTime{300};
+  static constexpr std::chrono::milliseconds CrossingTime_{300};
 
-  /// Stops accepting and, after CrossingTime, closes idle connections; requests
-  /// in progress are answered and their connections closed after that.
+  /// Stops accepting and, after CrossingTime_, closes idle connections;
+  /// requests in progress are answered and their connections closed after that.
   void drain();
 
   /// Stops accepting and closes all connections.
