--- a/tools/lib/soak.py
+++ b/tools/lib/soak.py
@@ -12,6 +12,7 @@
 import http.client
 import pathlib
 import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -20,8 +21,8 @@
 
 from fault_proxy import FaultProxy
 from measure import count_regressions, finish_load, mesh_yaml
-from mesh import (CALLER_PORT, ROOT, TARGET_PORT, Mesh, StepFailed, http as
-                  fetch, parse_pairs, wait_until)
+from mesh import (CALLER_PORT, ROOT, TARGET_PORT, Mesh, StepFailed,
+                  parse_pairs, wait_until)
 
 REGRESSIONS = pathlib.Path(__file__).with_name("soak_regressions.txt")
 HOSTS, DOMAINS = 6, 3
@@ -317,20 +318,19 @@
     """Result of one seed; the logs of a failed one are kept."""
     mesh = Mesh("soak")
     soak = Soak(mesh, seed, seconds, settle)
+    result = None
     try:
         result = soak.run()
+        return result
     finally:
         soak.proxy.close()
         mesh.reservation.close()
-        failed = "result" not in locals() or \
-            any(result[name] for name in PROMISES)
+        failed = result is None or any(result[name] for name in PROMISES)
         if failed and keep:
             target = pathlib.Path(keep) / f"seed-{seed}"
-            subprocess.run(["cp", "-r", str(mesh.folder), str(target)],
-                           check=False)
+            shutil.copytree(mesh.folder, target, dirs_exist_ok=True)
             print(f"seed {seed}: logs and ledgers in {target}", flush=True)
         mesh.close()
-    return result
 
 
 def read_regressions():
