--- a/tools/lib/soak.py
+++ b/tools/lib/soak.py
@@ -118,7 +118,6 @@
         self.version = 1
         self.index = 0
         self.lock = threading.Lock()
-        self.errors = []
 
     def start(self):
         mesh = self.mesh
