--- a/src/Ctl/CallHistory.cpp
+++ b/src/Ctl/CallHistory.cpp
@@ -1,6 +1,6 @@
 #include "Ctl/CallHistory.h"
 
-#include "Schema/generated/Errors.h"
+#include "Ctl/ErrorNames.h"
 
 #include <algorithm>
 #include <array>
@@ -15,8 +15,6 @@
 
 constexpr std::string_view CallEnded = "call_ended";
 constexpr std::string_view TargetCall = "target_call";
-/// Numbers of the error codes are below this (schema/errors.yaml).
-constexpr std::uint16_t ErrorNumbers = 1000;
 
 /// A belief that bears on decisions: the events that set it and the fields
 /// that say how.
@@ -55,10 +53,8 @@
 /// Description of an error by its text; empty for one that is not ours, such
 /// as a status.
 std::string describe(const std::string &Reason) {
-  for (std::uint16_t Number = 0; Number < ErrorNumbers; ++Number)
-    if (auto Code = errorFromNumber(Number); Code && errorText(*Code) == Reason)
-      return " (" + std::string(errorDescription(*Code)) + ")";
-  return "";
+  auto Code = errorFromText(Reason);
+  return Code ? " (" + std::string(errorDescription(*Code)) + ")" : "";
 }
 
 void appendFields(std::ostringstream &Out, const LogRecord &Record,
--- /dev/null
+++ b/src/Ctl/ErrorNames.cpp
@@ -0,0 +1,20 @@
+#include "Ctl/ErrorNames.h"
+
+#include <cstdint>
+
+namespace marigold::ctl {
+namespace {
+
+/// Numbers of the error codes are below this (schema/errors.yaml).
+constexpr std::uint16_t ErrorNumbers = 1000;
+
+} // namespace
+
+std::optional<ErrorCode> errorFromText(std::string_view Text) {
+  for (std::uint16_t Number = 0; Number < ErrorNumbers; ++Number)
+    if (auto Code = errorFromNumber(Number); Code && errorText(*Code) == Text)
+      return Code;
+  return std::nullopt;
+}
+
+} // namespace marigold::ctl
--- a/src/Ctl/FleetView.cpp
+++ b/src/Ctl/FleetView.cpp
@@ -1,4 +1,5 @@
 #include "Ctl/FleetView.h"
+#include "Ctl/ErrorNames.h"
 #include "Support/Addresses.h"
 
 #include <algorithm>
@@ -13,13 +14,16 @@
   return State != HostState::Dead && State != HostState::Gone;
 }
 
+/// Numbers of errors of the configuration text (schema/errors.yaml).
+constexpr int FirstTextError = 200;
+constexpr int LastTextError = 299;
+
 /// True for errors of the text itself, for which every node has the same
 /// verdict. Others, such as a digest mismatch, may pass.
 bool isTextError(std::string_view Reason) {
-  for (std::uint16_t Number = 200; Number < 300; ++Number)
-    if (auto Code = errorFromNumber(Number); Code && errorText(*Code) == Reason)
-      return true;
-  return false;
+  auto Code = errorFromText(Reason);
+  return Code && static_cast<int>(*Code) >= FirstTextError &&
+         static_cast<int>(*Code) <= LastTextError;
 }
 
 /// True when Left tells more about a host than Right. Lists carry no sequence
--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -101,7 +101,8 @@
                        transport::HttpRequest Request,
                        std::shared_ptr<transport::HttpExchange> Exchange)
     : Context_(std::move(Context)), Request_(std::move(Request)),
-      Exchange_(std::move(Exchange)), Timer_(Context_->Parts_.Io_) {}
+      Exchange_(std::move(Exchange)), Timer_(Context_->Parts_.Io_),
+      Tracker_(calls::CallSide::CallerNode, !requestKey().empty()) {}
 
 CallerCall::~CallerCall() { Context_->removeOpen(this); }
 
@@ -139,7 +140,7 @@
     waitForGate(Request_.Arrival_ + GateWait);
     return;
   case CallGate::Closed:
-    refuse(refusalBeforeOwner(ErrorCode::NotReady));
+    refuse(ErrorCode::NotReady);
     return;
   }
 }
@@ -151,7 +152,7 @@
     return;
   }
   if (Gate == CallGate::Closed || std::chrono::steady_clock::now() >= Until) {
-    refuse(refusalBeforeOwner(ErrorCode::NotReady));
+    refuse(ErrorCode::NotReady);
     return;
   }
   Timer_.expires_after(GateInterval);
@@ -164,7 +165,7 @@
 void CallerCall::begin() {
   auto Prepared = prepare();
   if (!Prepared) {
-    refuse(refusalBeforeOwner(Prepared.error().Code_));
+    refuse(Prepared.error().Code_);
     return;
   }
   State_->onCall(Request_.Arrival_);
@@ -185,13 +186,6 @@
                       : findHeader(Request_.Headers_, Name);
 }
 
-ErrorCode CallerCall::refusalBeforeOwner(ErrorCode Code) const {
-  bool OwnerDecides =
-      Code == ErrorCode::NotReady || Code == ErrorCode::UnknownService;
-  return OwnerDecides && !requestKey().empty() ? ErrorCode::KeyOwnerUnreachable
-                                               : Code;
-}
-
 Result<void> CallerCall::prepare() {
   const CallerSideParts &Parts = Context_->Parts_;
   Snapshot_ = Parts.Environment_.snapshot();
@@ -206,7 +200,6 @@
     BOOST_OUTCOME_TRY(auto Parsed,
                       calls::parseKey(Key, hash64(Parts.Settings_.Mesh_)));
     Owner_ = Parsed.Owner_;
-    Tracker_ = calls::OutcomeTracker(calls::CallSide::CallerNode, true);
   }
   Service_ = Snapshot_->findService(Request_.Host_);
   if (!Service_)
@@ -271,6 +264,8 @@
 }
 
 Result<void> CallerCall::prepareRouted(const VirtualHost &Host) {
+  // Virtual hosts have no keys.
+  Tracker_ = calls::OutcomeTracker(calls::CallSide::CallerNode);
   const CallerSideParts &Parts = Context_->Parts_;
   const HostRoute *Route =
       config::Snapshot::matchHostRoute(Host, Request_.Target_);
@@ -460,7 +455,7 @@
     {
       std::lock_guard Lock(Mutex_);
       Late = Ended_;
-      Hedge_->LocalNumber_ = Number;
+      Hedge_->Sent_.LocalNumber_ = Number;
     }
     if (Late)
       Parts.Local_->cancelLocal(Number);
@@ -493,8 +488,7 @@
     std::lock_guard Lock(Mutex_);
     Late = Ended_;
     if (!Late) {
-      Hedge_->Connection_ = Connection;
-      Hedge_->Stream_ = Stream;
+      Hedge_->Sent_ = {Connection, Stream, {}};
     }
   }
   if (Late)
@@ -513,8 +507,7 @@
     if (!hedgePending())
       return;
     Hedge_->Pending_ = false;
-    Hedge_->Connection_.reset();
-    Hedge_->LocalNumber_.reset();
+    Hedge_->Sent_ = {};
     if (!Ended_ && !Failed)
       Ended_ = true;
     else if (!Ended_)
@@ -547,10 +540,7 @@
     Hedge_->Pending_ = false;
     Cancelled = *Hedge_;
   }
-  if (Cancelled.Connection_)
-    Cancelled.Connection_->cancel(Cancelled.Stream_);
-  if (Cancelled.LocalNumber_)
-    Context_->Parts_.Local_->cancelLocal(*Cancelled.LocalNumber_);
+  cancelSent(Cancelled.Sent_);
   State_->onResult(Cancelled.Host_, {ErrorCode::Cancelled, false, {}, {}},
                    std::chrono::steady_clock::now());
 }
@@ -585,8 +575,7 @@
     std::lock_guard Lock(Mutex_);
     Late = Ended_;
     if (!Late && Tracker_.attempts() == Attempt) {
-      Connection_ = Connection;
-      Stream_ = Stream;
+      Sent_ = {Connection, Stream, {}};
     }
   }
   if (!Late)
@@ -613,7 +602,7 @@
     std::lock_guard Lock(Mutex_);
     Late = Ended_;
     if (!Late && Tracker_.attempts() == Attempt)
-      LocalNumber_ = Number;
+      Sent_.LocalNumber_ = Number;
   }
   if (Late)
     Local.cancelLocal(Number);
@@ -651,8 +640,7 @@
     std::lock_guard Lock(Mutex_);
     if (Ended_ || Tracker_.attempts() != Attempt)
       return;
-    Connection_.reset();
-    LocalNumber_.reset();
+    Sent_ = {};
     if (Lost && !Lost->Written_) {
       Tracker_.connectFailed();
     } else {
@@ -691,16 +679,14 @@
       // The hedge may still do better.
       Fallback_ = std::move(Reply);
       EndsWith_ = ErrorCode::TargetLost;
-      Connection_.reset();
-      LocalNumber_.reset();
+      Sent_ = {};
       return;
     }
     Tracker_.sentFirstByte();
     Tracker_.firstAnswerByte();
     Tracker_.answerComplete();
     Ended_ = true;
-    Connection_.reset();
-    LocalNumber_.reset();
+    Sent_ = {};
     Timer_.cancel();
   }
   cancelHedge();
@@ -736,8 +722,7 @@
     Tracker_.answerInvalid(ErrorCode::TargetLost);
     ++UnknownAttempts_;
     ++ReachedTargets_;
-    Connection_.reset();
-    LocalNumber_.reset();
+    Sent_ = {};
   }
   attempt();
   return true;
@@ -852,27 +837,27 @@
 }
 
 void CallerCall::cancelAttempt() {
-  transport::PeerConnectionPtr Connection;
-  std::optional<std::uint64_t> Number;
-  std::uint32_t Stream = 0;
+  SentRequest Cancelled;
   HostId Host;
   unsigned Attempt = 0;
   {
     std::lock_guard Lock(Mutex_);
     Attempt = Tracker_.attempts();
-    Connection = std::exchange(Connection_, nullptr);
-    Number = std::exchange(LocalNumber_, std::nullopt);
-    Stream = Stream_;
+    Cancelled = std::exchange(Sent_, {});
     if (!Tried_.empty())
       Host = Tried_.back();
   }
-  if (Connection) {
-    Connection->cancel(Stream);
-    // The connection reports nothing more for a cancelled stream.
+  cancelSent(Cancelled);
+  // The connection reports nothing more for a cancelled stream.
+  if (Cancelled.Connection_)
     reportCancelled(Host, Attempt);
-  }
-  if (Number)
-    Context_->Parts_.Local_->cancelLocal(*Number);
+}
+
+void CallerCall::cancelSent(const SentRequest &Sent) {
+  if (Sent.Connection_)
+    Sent.Connection_->cancel(Sent.Stream_);
+  if (Sent.LocalNumber_)
+    Context_->Parts_.Local_->cancelLocal(*Sent.LocalNumber_);
 }
 
 void CallerCall::report(const HostId &Host, unsigned Attempt,
--- a/src/Node/CallerCall.h
+++ b/src/Node/CallerCall.h
@@ -55,13 +55,19 @@
   std::map<std::pair<std::string, std::string>, routing::WeightedSplit> Splits_;
 };
 
+/// Where an attempt was sent: a stream of a peer's connection, or a number of
+/// the own target's side. Neither before the send and after the end.
+struct SentRequest {
+  transport::PeerConnectionPtr Connection_;
+  std::uint32_t Stream_ = 0;
+  std::optional<std::uint64_t> LocalNumber_;
+};
+
 /// A second attempt of a request beside the first one.
 struct HedgedAttempt {
   HostId Host_;
   bool Pending_ = true;
-  transport::PeerConnectionPtr Connection_;
-  std::uint32_t Stream_ = 0;
-  std::optional<std::uint64_t> LocalNumber_;
+  SentRequest Sent_;
 };
 
 /// One request of a caller, with all its attempts. Events (answers, lost
@@ -87,9 +93,6 @@
   /// refusal.
   /// Key of the request; empty without one.
   std::string_view requestKey() const;
-  /// The reason for refusing a request that was not passed on to its key's
-  /// owner: an earlier copy may have run there, which this node cannot tell.
-  ErrorCode refusalBeforeOwner(ErrorCode Code) const;
   Result<void> prepare();
   Result<void> prepareRouted(const VirtualHost &Host);
   /// Moves header fields and body into the call.
@@ -158,6 +161,7 @@
   void refuse(ErrorCode Code);
   void finishWithError(ErrorCode Code);
   void cancelAttempt();
+  void cancelSent(const SentRequest &Sent);
 
   const std::shared_ptr<CallerContext> Context_;
   transport::HttpRequest Request_;
@@ -180,7 +184,7 @@
   boost::asio::steady_timer Timer_;
 
   std::mutex Mutex_;
-  calls::OutcomeTracker Tracker_{calls::CallSide::CallerNode};
+  calls::OutcomeTracker Tracker_;
   std::vector<HostId> Tried_;
   unsigned UnknownAttempts_ = 0;
   unsigned Reported_ = 0;
@@ -197,9 +201,8 @@
   std::string Trace_;
   bool HandedOver_ = false;
   bool Ended_ = false;
-  transport::PeerConnectionPtr Connection_;
-  std::uint32_t Stream_ = 0;
-  std::optional<std::uint64_t> LocalNumber_;
+  /// Where the attempt under way was sent.
+  SentRequest Sent_;
 };
 
 } // namespace marigold::node
--- a/src/Node/SourceClient.cpp
+++ b/src/Node/SourceClient.cpp
@@ -2,11 +2,12 @@
 
 #include "Config/TextParser.h"
 #include "Support/Addresses.h"
-#include "Transport/HttpGet.h"
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include <mutex>
+
 namespace marigold::node {
 namespace {
 
@@ -109,18 +110,16 @@
 struct SourceClient::Shared {
   SourceCallObserver Observer_;
   std::mutex Mutex_;
-  std::uint64_t NextCall_ = 0;
   /// Index of the last host list of the own failure domain, beyond which the
   /// next read waits. 0 reads at once.
   std::uint64_t HostsIndex_ = 0;
-  std::map<std::uint64_t, transport::HttpGetCancel> Cancels_;
-  bool Stopped_ = false;
 };
 
 SourceClient::SourceClient(boost::asio::io_context &Io,
                            const NodeSettings &Settings,
                            SourceCallObserver Observer)
-    : Io_(Io), Settings_(Settings), Shared_(std::make_shared<Shared>()) {
+    : Settings_(Settings), Shared_(std::make_shared<Shared>()),
+      Calls_(std::make_shared<transport::HttpGetCalls>(Io)) {
   Shared_->Observer_ = std::move(Observer);
 }
 
@@ -130,17 +129,8 @@
   Request.Server_ = Settings_.SourceAddress_;
   Request.Target_ = std::move(Target);
   Request.Timeout_ = Timeout;
-  auto State = Shared_;
-  std::lock_guard Lock(State->Mutex_);
-  if (State->Stopped_)
-    return;
-  std::uint64_t Number = State->NextCall_++;
-  auto Finish = [State, Call, Number, Done = std::move(Done)](
+  auto Finish = [State = Shared_, Call, Done = std::move(Done)](
                     Result<transport::HttpGetResponse> Answer) {
-    {
-      std::lock_guard FinishLock(State->Mutex_);
-      State->Cancels_.erase(Number);
-    }
     SourceBytes Bytes{ConnectionOverhead, ConnectionOverhead};
     if (!Answer) {
       State->Observer_(Call, Bytes);
@@ -168,8 +158,7 @@
     // The host list needs no index.
     Done(std::make_pair(Index ? Index.value() : 0, std::move(Response.Body_)));
   };
-  State->Cancels_[Number] =
-      transport::httpGet(Io_, std::move(Request), std::move(Finish));
+  Calls_->start(std::move(Request), std::move(Finish));
 }
 
 void SourceClient::watchKeys(std::uint64_t Index,
@@ -252,15 +241,6 @@
       });
 }
 
-void SourceClient::stop() {
-  std::map<std::uint64_t, transport::HttpGetCancel> Cancels;
-  {
-    std::lock_guard Lock(Shared_->Mutex_);
-    Shared_->Stopped_ = true;
-    Cancels.swap(Shared_->Cancels_);
-  }
-  for (const auto &[Number, Cancel] : Cancels)
-    Cancel();
-}
+void SourceClient::stop() { Calls_->stop(); }
 
 } // namespace marigold::node
--- a/src/Node/SourceClient.h
+++ b/src/Node/SourceClient.h
@@ -4,13 +4,12 @@
 #include "Node/ConfigSource.h"
 #include "Schema/generated/Settings.h"
 #include "Support/Result.h"
+#include "Transport/HttpGetCalls.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 
 namespace marigold::node {
@@ -40,9 +39,9 @@
   void get(distribution::SourceCall Call, std::string Target, Duration Timeout,
            BodyCallback Done);
 
-  boost::asio::io_context &Io_;
   const NodeSettings &Settings_;
   std::shared_ptr<Shared> Shared_;
+  const std::shared_ptr<transport::HttpGetCalls> Calls_;
 };
 
 /// Parses the answer of /v1/catalog/nodes. Fails with SourceMalformed. Hosts
--- a/src/Transport/Listener.cpp
+++ b/src/Transport/Listener.cpp
@@ -65,25 +65,17 @@
         });
   }
 
-  void stop() {
+  void stop(bool TakeWaiting) {
     if (Stopped_.exchange(true))
       return;
-    asio::dispatch(Acceptor_.get_executor(), [Self = shared_from_this()] {
-      boost::system::error_code Ignored;
-      Self->Acceptor_.close(Ignored);
-      Self->Pause_.cancel();
-    });
-  }
-
-  void finish() {
-    if (Stopped_.exchange(true))
-      return;
-    asio::dispatch(Acceptor_.get_executor(), [Self = shared_from_this()] {
-      Self->acceptWaiting();
-      boost::system::error_code Ignored;
-      Self->Acceptor_.close(Ignored);
-      Self->Pause_.cancel();
-    });
+    asio::dispatch(Acceptor_.get_executor(),
+                   [Self = shared_from_this(), TakeWaiting] {
+                     if (TakeWaiting)
+                       Self->acceptWaiting();
+                     boost::system::error_code Ignored;
+                     Self->Acceptor_.close(Ignored);
+                     Self->Pause_.cancel();
+                   });
   }
 
   void acceptWaiting() {
@@ -115,8 +107,8 @@
 
 std::uint16_t Listener::port() const { return Impl_->Port_; }
 
-void Listener::stop() { Impl_->stop(); }
+void Listener::stop() { Impl_->stop(false); }
 
-void Listener::finish() { Impl_->finish(); }
+void Listener::finish() { Impl_->stop(true); }
 
 } // namespace marigold::transport
--- a/tools/lib/measure.py
+++ b/tools/lib/measure.py
@@ -314,13 +314,7 @@
             restart_host(mesh, host)
             time.sleep(choose.uniform(0.5, 2))
         figures = finish_load(run, 120)
-        files = [str(mesh.ledger(h)) for h in workers]
-        joined = subprocess.run(
-            [str(ROOT / "build/bin/marigold-load"), "join", str(ledger)] +
-            files, stdout=subprocess.PIPE, text=True, check=False)
-        if joined.returncode not in (0, 1):
-            raise StepFailed("the ledgers cannot be joined")
-        pairs = parse_pairs(joined.stdout)
+        pairs = mesh.join_ledgers(ledger)
         for key in ("doubled", "false_not_run", "ok_without_run",
                     "unknown_ran", "unknown_not_run", "bookings", "examples"):
             if key in pairs:
--- a/tools/lib/mesh.py
+++ b/tools/lib/mesh.py
@@ -291,6 +291,19 @@
         return process
 
 
+    def join_ledgers(self, callers):
+        """What the ledgers of the callers and of all targets show together."""
+        targets = [str(self.ledger(host)) for host in self.hosts
+                   if host.service]
+        joined = subprocess.run(
+            [str(BIN / "marigold-load"), "join", str(callers)] + targets,
+            stdout=subprocess.PIPE, text=True, check=False)
+        # 1 is a broken promise, which the counts show.
+        if joined.returncode not in (0, 1):
+            raise StepFailed("the ledgers cannot be joined")
+        return parse_pairs(joined.stdout)
+
+
 def steps_back(versions):
     """Number of steps to a lower version in a sequence."""
     return sum(1 for old, new in zip(versions, versions[1:]) if new < old)
--- a/tools/lib/soak.py
+++ b/tools/lib/soak.py
@@ -21,8 +21,7 @@
 
 from fault_proxy import FaultProxy
 from measure import count_regressions, finish_load, mesh_yaml
-from mesh import (CALLER_PORT, ROOT, TARGET_PORT, Mesh, StepFailed,
-                  parse_pairs, wait_until)
+from mesh import CALLER_PORT, TARGET_PORT, Mesh, StepFailed, wait_until
 
 REGRESSIONS = pathlib.Path(__file__).with_name("soak_regressions.txt")
 HOSTS, DOMAINS = 6, 3
@@ -261,7 +260,11 @@
         for key in ("calls", "calls_ok", "calls_not_run", "calls_unknown",
                     "lost_answers", "crossed"):
             result[key] = int(figures[key])
-        result.update(self.join(ledger))
+        pairs = self.mesh.join_ledgers(ledger)
+        for key in ("doubled", "false_not_run"):
+            result[key] = int(pairs[key])
+        if "examples" in pairs:
+            result["examples"] = pairs["examples"]
         result["regressions"], _ = count_regressions(self.mesh)
         result["cut_by_drain"] = self.count_runs(unanswered)
         return result
@@ -289,26 +292,10 @@
                 count += 1
         return count
 
-    def ledgers(self):
-        return [self.mesh.ledger(host) for host in self.mesh.hosts]
-
-    def join(self, ledger):
-        joined = subprocess.run(
-            [str(ROOT / "build/bin/marigold-load"), "join", str(ledger)] +
-            [str(path) for path in self.ledgers()],
-            stdout=subprocess.PIPE, text=True, check=False)
-        if joined.returncode not in (0, 1):
-            raise StepFailed("the ledgers cannot be joined")
-        pairs = parse_pairs(joined.stdout)
-        result = {key: int(pairs[key]) for key in ("doubled", "false_not_run")}
-        if "examples" in pairs:
-            result["examples"] = pairs["examples"]
-        return result
-
     def count_runs(self, requests):
         """How many of the requests some target ran."""
-        ran = {line.split()[1] for path in self.ledgers()
-               for line in path.read_text().splitlines()
+        ran = {line.split()[1] for host in self.mesh.hosts
+               for line in self.mesh.ledger(host).read_text().splitlines()
                if line.startswith("run ") and len(line.split()) > 2}
         return sum(1 for request in requests if request in ran)
 
