A waiting request no longer keeps its connection after the loop ends

The connection owned the exchange of its request, and the exchange owned the connection. Only a response or the end of the socket broke that; when the loop ended between the two, both stayed. The test leaves a request with the target's stand-in, whose connection learns of the cancelled call only if the loop still runs.

Ruled out: the fixture's own references (declared after, destroyed before the loop), handlers of timers (the loop destroys them).

Change: the connection refers to the exchange weakly; the handler of the request owns it, as all handlers do already, and through it the connection.

Before: the new test "http server frees a waiting request when its loop ends" fails every time.

--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -273,8 +273,9 @@
 void HttpServerConnection::handle() {
   Parser_.reset();
   beginPhase(Phase::Handling, std::nullopt);
-  Exchange_ = std::make_shared<ServerExchange>(shared_from_this());
-  Options_->OnRequest_(std::exchange(Request_, {}), Exchange_);
+  auto Exchange = std::make_shared<ServerExchange>(shared_from_this());
+  Exchange_ = Exchange;
+  Options_->OnRequest_(std::exchange(Request_, {}), std::move(Exchange));
 }
 
 void HttpServerConnection::refuse(ErrorCode Code) {
@@ -381,7 +382,7 @@
   beginPhase(Phase::Closed, std::nullopt);
   boost::system::error_code Ignored;
   Socket_.close(Ignored);
-  if (auto Exchange = std::exchange(Exchange_, nullptr))
+  if (auto Exchange = std::exchange(Exchange_, {}).lock())
     Exchange->disconnected();
 }
 
--- a/src/Transport/HttpServerConnection.h
+++ b/src/Transport/HttpServerConnection.h
@@ -109,7 +109,9 @@
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   HttpRequest Request_;
-  std::shared_ptr<ServerExchange> Exchange_;
+  // The handler owns the exchange, which owns the connection; owning it here,
+  // too, would keep both for ever when the loop ends before the response.
+  std::weak_ptr<ServerExchange> Exchange_;
   std::optional<Message> Message_;
   std::string Continue_;
   Phase Phase_ = Phase::Head;
--- a/unittests/Transport/HttpServerTest.cpp
+++ b/unittests/Transport/HttpServerTest.cpp
@@ -187,6 +187,31 @@
   (*Exchange)->respond({});
 }
 
+// Guards against a connection and its exchange that keep each other for ever
+// when the loop ends while a request waits.
+TEST_CASE("http server frees a waiting request when its loop ends") {
+  auto Token = std::make_shared<int>();
+  std::weak_ptr<int> Kept = Token;
+  {
+    boost::asio::io_context Io;
+    std::shared_ptr<HttpExchange> Held;
+    HttpServerOptions Options;
+    Options.OnRequest_ = [&Held, Token = std::move(Token)](
+                             HttpRequest, std::shared_ptr<HttpExchange> Out) {
+      Held = std::move(Out);
+    };
+    HttpServer Server(Io, std::move(Options));
+    REQUIRE(Server.listen({Loopback, 0}));
+    RawConnection Client(Server.port());
+    Client.send("GET /held HTTP/1.1\r\nHost: desk\r\n\r\n");
+    while (!Held && Io.run_one_for(TestGuard) != 0) {
+    }
+    REQUIRE(Held);
+    Held.reset();
+  }
+  CHECK(Kept.expired());
+}
+
 TEST_CASE_FIXTURE(HttpServerFixture,
                   "http server sends no body for HEAD and asks for a body") {
   RawConnection Client = connect();
