A client's disconnect reaches handlers that hold no exchange

Change: the notice is a piece of its own, DisconnectNotice, which both the connection and the exchange own and which refers to neither.

--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -32,24 +32,10 @@
 
 } // namespace
 
-void ServerExchange::respond(HttpResponse Response) {
-  std::shared_ptr<HttpServerConnection> Connection;
+void DisconnectNotice::set(std::function<void()> Callback) {
   {
     std::lock_guard Lock(Mutex_);
-    if (Responded_)
-      return;
-    Responded_ = true;
-    Callback_ = nullptr;
-    Connection = std::move(Connection_);
-  }
-  if (Connection)
-    Connection->respond(std::move(Response));
-}
-
-void ServerExchange::onDisconnect(std::function<void()> Callback) {
-  {
-    std::lock_guard Lock(Mutex_);
-    if (Responded_)
+    if (Cleared_)
       return;
     if (!Gone_) {
       Callback_ = std::move(Callback);
@@ -59,18 +45,40 @@
   Callback();
 }
 
-void ServerExchange::disconnected() {
+void DisconnectNotice::clear() {
+  std::function<void()> Dropped;
+  std::lock_guard Lock(Mutex_);
+  Cleared_ = true;
+  Dropped.swap(Callback_);
+}
+
+void DisconnectNotice::disconnected() {
   std::function<void()> Callback;
   {
     std::lock_guard Lock(Mutex_);
     Gone_ = true;
-    Connection_.reset();
-    Callback = std::exchange(Callback_, nullptr);
+    Callback.swap(Callback_);
   }
   if (Callback)
     Callback();
 }
 
+void ServerExchange::respond(HttpResponse Response) {
+  std::shared_ptr<HttpServerConnection> Connection;
+  {
+    std::lock_guard Lock(Mutex_);
+    Connection.swap(Connection_);
+  }
+  if (!Connection)
+    return;
+  Notice_->clear();
+  Connection->respond(std::move(Response));
+}
+
+void ServerExchange::onDisconnect(std::function<void()> Callback) {
+  Notice_->set(std::move(Callback));
+}
+
 HttpServerConnection::HttpServerConnection(
     tcp::socket Socket, std::shared_ptr<const HttpServerOptions> Options,
     std::shared_ptr<std::atomic<std::size_t>> Open)
@@ -273,9 +281,10 @@
 void HttpServerConnection::handle() {
   Parser_.reset();
   beginPhase(Phase::Handling, std::nullopt);
-  auto Exchange = std::make_shared<ServerExchange>(shared_from_this());
-  Exchange_ = Exchange;
-  Options_->OnRequest_(std::exchange(Request_, {}), std::move(Exchange));
+  Notice_ = std::make_shared<DisconnectNotice>();
+  Options_->OnRequest_(
+      std::exchange(Request_, {}),
+      std::make_shared<ServerExchange>(shared_from_this(), Notice_));
 }
 
 void HttpServerConnection::refuse(ErrorCode Code) {
@@ -291,7 +300,7 @@
       [Self = shared_from_this(), Response = std::move(Response)]() mutable {
         if (Self->Phase_ != Phase::Handling)
           return;
-        Self->Exchange_.reset();
+        Self->Notice_.reset();
         Self->write(std::move(Response), !Self->KeepAlive_ || Self->Draining_);
       });
 }
@@ -382,8 +391,8 @@
   beginPhase(Phase::Closed, std::nullopt);
   boost::system::error_code Ignored;
   Socket_.close(Ignored);
-  if (auto Exchange = std::exchange(Exchange_, {}).lock())
-    Exchange->disconnected();
+  if (auto Notice = std::exchange(Notice_, nullptr))
+    Notice->disconnected();
 }
 
 } // namespace marigold::transport
--- a/src/Transport/HttpServerConnection.h
+++ b/src/Transport/HttpServerConnection.h
@@ -16,26 +16,44 @@
 
 class HttpServerConnection;
 
-/// Hands the response of one request to its connection.
-class ServerExchange : public HttpExchange {
+/// Tells the handler of one request that the client went away. Belongs to the
+/// exchange and to the connection, and refers to neither. Any thread.
+class DisconnectNotice {
 public:
-  explicit ServerExchange(std::shared_ptr<HttpServerConnection> Connection)
-      : Connection_(std::move(Connection)) {}
+  /// Sets the function to call; calls it at once if the client is gone.
+  void set(std::function<void()> Callback);
 
-  void respond(HttpResponse Response) override;
-  void onDisconnect(std::function<void()> Callback) override;
+  /// The request has its response: nothing is called from now on.
+  void clear();
 
   /// The client went away.
   void disconnected();
 
 private:
   std::mutex Mutex_;
-  std::shared_ptr<HttpServerConnection> Connection_;
   std::function<void()> Callback_;
-  bool Responded_ = false;
+  bool Cleared_ = false;
   bool Gone_ = false;
 };
 
+/// Hands the response of one request to its connection. Only the handler owns
+/// it: a connection that owned it, too, would stay for ever when its loop ends
+/// before the response.
+class ServerExchange : public HttpExchange {
+public:
+  ServerExchange(std::shared_ptr<HttpServerConnection> Connection,
+                 std::shared_ptr<DisconnectNotice> Notice)
+      : Connection_(std::move(Connection)), Notice_(std::move(Notice)) {}
+
+  void respond(HttpResponse Response) override;
+  void onDisconnect(std::function<void()> Callback) override;
+
+private:
+  std::mutex Mutex_;
+  std::shared_ptr<HttpServerConnection> Connection_;
+  const std::shared_ptr<DisconnectNotice> Notice_;
+};
+
 /// One connection of a client. All members belong to its strand, except for
 /// those that say otherwise.
 class HttpServerConnection
@@ -109,9 +127,7 @@
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   HttpRequest Request_;
-  // The handler owns the exchange, which owns the connection; owning it here,
-  // too, would keep both for ever when the loop ends before the response.
-  std::weak_ptr<ServerExchange> Exchange_;
+  std::shared_ptr<DisconnectNotice> Notice_;
   std::optional<Message> Message_;
   std::string Continue_;
   Phase Phase_ = Phase::Head;
