Versions are taken at half of the link's rate

Hosts with 100 Mbit/s lost 7 ms, those with 9 Mbit/s up to 179 ms. A version is a text of 256 KB, 341 KB as the store sends it: 0.3 s of such a link, about once a second and node. Calls of running work waited, too, so that runs held their slots half as long again.

Ruled out: processor time (none was charged); the queue's estimate (trial: the upper octile of runs instead of one and a half means moved 0.2 % of the answers, taken back); the receive buffer (trial: 8 KB changed nothing).

Change: a large body from the store is read in pieces at half of the link's rate, or faster where it would last longer than 0.7 s. callPause assumes the same half. The time a call waited for a slot is in its log line (wait_ms), which is what found the cause; limit_ms says none for a call without a limit.

--- a/src/Distribution/CallPause.cpp
+++ b/src/Distribution/CallPause.cpp
@@ -1,5 +1,7 @@
 #include "Distribution/CallPause.h"
 
+#include "Support/LinkRate.h"
+
 #include <algorithm>
 
 namespace marigold::distribution {
@@ -8,8 +10,6 @@
 /// Part of a loaded link that an answer gets beside the calls: half of it, as
 /// one direction of few connections among those of the calls.
 constexpr double LinkShare = 0.5;
-constexpr double BitsPerByte = 8;
-constexpr double BitsPerMegabit = 1e6;
 
 } // namespace
 
@@ -17,8 +17,8 @@
   if (LinkMbps <= 0)
     return Usual;
   std::chrono::duration<double> Transfer(
-      static_cast<double>(AnswerBytes) * BitsPerByte /
-      (LinkMbps * BitsPerMegabit * LinkShare));
+      static_cast<double>(AnswerBytes) /
+      (linkBytesPerSecond(LinkMbps) * LinkShare));
   return std::max(Duration::zero(),
                   Usual - std::chrono::duration_cast<Duration>(Transfer));
 }
--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -752,21 +752,23 @@
   if (!Context_->Log_.admits(Result != Outcome::Ok || Status >= 500, Now))
     return;
   const CallEnvironment &Environment = Context_->Parts_.Environment_;
-  logEvent(Result == Outcome::Ok ? LogLevel::Info : LogLevel::Warning,
-           "call_ended",
-           {{"id", RequestId_},
-            {"route", Request_.Host_ + Request_.Target_},
-            {"service", Service_ ? Service_->Name_ : "-"},
-            {"caller_service", Start_.Caller_},
-            {"outcome", std::string(outcomeText(Result))},
-            {"status", std::to_string(Status)},
-            {"reason", std::string(Reason)},
-            {"repeatable", Start_.Repeatable_ ? "true" : "false"},
-            {"tried", Trace_},
-            {"latency_ms", millisecondsText(Now - Request_.Arrival_)},
-            {"limit_ms", millisecondsText(Deadline_.at() - Request_.Arrival_)},
-            {"config", Snapshot_ ? toText(Snapshot_->version()) : "none"},
-            {"targets_age_ms", millisecondsText(Environment.targetsAge(Now))}});
+  logEvent(
+      Result == Outcome::Ok ? LogLevel::Info : LogLevel::Warning, "call_ended",
+      {{"id", RequestId_},
+       {"route", Request_.Host_ + Request_.Target_},
+       {"service", Service_ ? Service_->Name_ : "-"},
+       {"caller_service", Start_.Caller_},
+       {"outcome", std::string(outcomeText(Result))},
+       {"status", std::to_string(Status)},
+       {"reason", std::string(Reason)},
+       {"repeatable", Start_.Repeatable_ ? "true" : "false"},
+       {"tried", Trace_},
+       {"latency_ms", millisecondsText(Now - Request_.Arrival_)},
+       {"limit_ms", Deadline_.at() == TimePoint::max()
+                        ? "none"
+                        : millisecondsText(Deadline_.at() - Request_.Arrival_)},
+       {"config", Snapshot_ ? toText(Snapshot_->version()) : "none"},
+       {"targets_age_ms", millisecondsText(Environment.targetsAge(Now))}});
 }
 
 calls::AttemptState CallerCall::attemptState(ErrorCode Reason) const {
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -8,6 +8,7 @@
 #include "Node/TargetSide.h"
 #include "Support/Addresses.h"
 #include "Support/Digest.h"
+#include "Support/LinkRate.h"
 #include "Support/Log.h"
 
 #include <boost/asio/io_context.hpp>
@@ -52,11 +53,10 @@
 
 std::shared_ptr<transport::EgressPacer>
 makePacer(boost::asio::io_context &Io, const NodeSettings &Settings) {
-  constexpr double BytesPerMegabit = 1e6 / 8;
   if (Settings.LinkMbps_ <= 0)
     return nullptr;
-  return std::make_shared<transport::EgressPacer>(Io, Settings.LinkMbps_ *
-                                                          BytesPerMegabit);
+  return std::make_shared<transport::EgressPacer>(
+      Io, linkBytesPerSecond(Settings.LinkMbps_));
 }
 
 std::uint64_t chooseSeed(const NodeSettings &Settings) {
--- a/src/Node/TargetRun.cpp
+++ b/src/Node/TargetRun.cpp
@@ -152,6 +152,8 @@
   if (!Log_.admits(Decision != "answered", Now))
     return;
   OwnTarget Own = ownTarget();
+  Duration Wait =
+      (Run.Forwarded_ == TimePoint() ? Now : Run.Forwarded_) - Run.Accepted_;
   logEvent(
       LogLevel::Info, "target_call",
       {{"id", std::string(transport::findHeader(Run.Start_.Headers_,
@@ -166,6 +168,7 @@
        {"running", std::to_string(Load.Running_)},
        {"queued", std::to_string(Load.Queued_)},
        {"limit", std::to_string(Load.Limit_)},
+       {"wait_ms", std::to_string(wholeMilliseconds(Wait).count())},
        {"latency_ms", std::to_string(wholeMilliseconds(Latency).count())},
        {"remaining_ms",
         std::to_string(wholeMilliseconds(Run.Deadline_.at() - Now).count())},
--- a/src/Node/TargetSide.cpp
+++ b/src/Node/TargetSide.cpp
@@ -264,6 +264,7 @@
 void TargetSide::Impl::accept(const TargetRunPtr &Run) {
   TimePoint Now = std::chrono::steady_clock::now();
   const CallStart &Start = Run->Start_;
+  Run->Accepted_ = Now;
   Run->Deadline_ = calls::Deadline::after(Now, Start.Remaining_);
   Run->Fingerprint_ = calls::requestFingerprint(
       Start.Method_, Start.Path_,
--- a/src/Node/TargetSideImpl.h
+++ b/src/Node/TargetSideImpl.h
@@ -44,7 +44,9 @@
   std::optional<std::uint64_t> KeyNumber_;
   /// Content of the request, for CrashSuspects.
   std::uint64_t Fingerprint_ = 0;
-  /// Time at which the request was given to the connection pool.
+  /// Time at which the request asked for a slot.
+  TimePoint Accepted_{};
+  /// Time at which the request was given to the connection pool; zero before.
   TimePoint Forwarded_{};
 
   /// Protects the fields below.
--- a/src/Transport/HttpGet.cpp
+++ b/src/Transport/HttpGet.cpp
@@ -6,6 +6,7 @@
 #include "Support/Addresses.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -25,12 +26,21 @@
 
 namespace {
 
+/// Bytes that are taken at once from a paced body.
+constexpr std::size_t PieceSize = std::size_t{16} * 1024;
+/// Part of the link that a paced body takes.
+constexpr double PacedShare = 0.5;
+/// Longest time to which pacing stretches a body: a third of the time in which
+/// a version has to be in force at the target's scale (3 s), less a margin for
+/// the pause between two reads.
+constexpr std::chrono::duration<double> PacedTime(0.7);
+
 class GetOperation : public std::enable_shared_from_this<GetOperation> {
 public:
   GetOperation(asio::io_context &Io, HttpGetRequest Request,
                HttpGetCallback Done)
-      : Stream_(asio::make_strand(Io)), Request_(std::move(Request)),
-        Done_(std::move(Done)) {}
+      : Stream_(asio::make_strand(Io)), Pause_(Stream_.get_executor()),
+        Request_(std::move(Request)), Done_(std::move(Done)) {}
 
   void start() {
     asio::post(Stream_.get_executor(), [Self = shared_from_this()] {
@@ -53,6 +63,7 @@
   void cancel() {
     asio::post(Stream_.get_executor(), [Self = shared_from_this()] {
       Self->Stream_.close();
+      Self->Pause_.cancel();
       Self->end(fail(ErrorCode::Cancelled));
     });
   }
@@ -80,6 +91,11 @@
   void read() {
     Parser_.header_limit(HttpHeaderLimit);
     Parser_.body_limit(Request_.Limit_);
+    if (Request_.LinkRate_ > 0) {
+      Parser_.eager(true);
+      readPiece();
+      return;
+    }
     http::async_read(
         Stream_, Buffer_, Parser_,
         [Self = shared_from_this()](beast::error_code Error, std::size_t Size) {
@@ -87,6 +103,36 @@
         });
   }
 
+  void readPiece() {
+    http::async_read_some(
+        Stream_, Buffer_, Parser_,
+        [Self = shared_from_this()](beast::error_code Error, std::size_t Size) {
+          Self->Received_ += Size;
+          if (Error || Self->Parser_.is_done())
+            Self->onRead(Error, Self->Received_);
+          else
+            Self->pauseAfter(Size);
+        });
+  }
+
+  /// Reads on when a piece of Size bytes has had its time at the paced rate.
+  void pauseAfter(std::size_t Size) {
+    double Rate =
+        Parser_.is_header_done()
+            ? paceOf(Parser_.content_length().value_or(0), Request_.LinkRate_)
+            : 0;
+    if (Rate <= 0) {
+      readPiece();
+      return;
+    }
+    Pause_.expires_after(std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(static_cast<double>(Size) / Rate)));
+    Pause_.async_wait([Self = shared_from_this()](beast::error_code) {
+      if (Self->Done_)
+        Self->readPiece();
+    });
+  }
+
   void onRead(beast::error_code Error, std::size_t Size) {
     if (Error) {
       end(failure(Error));
@@ -126,16 +172,26 @@
   }
 
   beast::tcp_stream Stream_;
+  asio::steady_timer Pause_;
   const HttpGetRequest Request_;
   HttpGetCallback Done_;
   http::request<http::empty_body> Message_;
   http::response_parser<http::string_body> Parser_;
-  beast::flat_buffer Buffer_;
+  // Bounds what one read takes; a header section fits.
+  beast::flat_buffer Buffer_{PieceSize + HttpHeaderLimit};
   std::size_t Sent_ = 0;
+  std::size_t Received_ = 0;
 };
 
 } // namespace
 
+double paceOf(std::uint64_t Size, double LinkRate) {
+  if (Size <= PieceSize)
+    return 0;
+  return std::max(LinkRate * PacedShare,
+                  static_cast<double>(Size) / PacedTime.count());
+}
+
 HttpGetCancel httpGet(asio::io_context &Io, HttpGetRequest Request,
                       HttpGetCallback Done) {
   auto Operation =
--- a/src/Transport/HttpGet.h
+++ b/src/Transport/HttpGet.h
@@ -27,8 +27,19 @@
   Duration ConnectTimeout_ = std::chrono::seconds(5);
   /// Largest response body in bytes.
   std::uint64_t Limit_ = std::size_t{2} * 1024 * 1024;
+  /// Rate of the host's link in bytes a second, of which a large body leaves
+  /// part to other traffic; 0 takes it as fast as it comes.
+  double LinkRate_ = 0;
 };
 
+/// Rate in bytes a second at which a body of Size bytes is taken from a link of
+/// LinkRate; 0 for as fast as it comes.
+///
+/// Load pattern: large versions arrive at a host with a slow link while it
+/// serves calls. A version that takes all of the link holds each call up for as
+/// long as it lasts, and the calls' targets keep their slots meanwhile.
+double paceOf(std::uint64_t Size, double LinkRate);
+
 /// A complete response with the bytes that it took.
 struct HttpGetResponse {
   /// Status, header fields and body.
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -311,15 +311,19 @@
        ErrorCode::AnswerTooLarge},
       {"no end", "HTTP/1.1 200 OK\r\n\r\nok", ErrorCode::MalformedAnswer},
   };
-  for (const Row &Case : Rows) {
+  for (std::size_t Index = 0; Index < 2 * Rows.size(); ++Index) {
+    const Row &Case = Rows[Index / 2];
+    const double LinkRate = Index % 2 == 0 ? 0 : 1'125'000;
     CAPTURE(Case.Name_);
+    CAPTURE(LinkRate);
     Waiter<Result<HttpGetResponse>> Got;
     httpGet(Threads_.Io_,
             {{Loopback, Listener_.port()},
              "/v1/kv/k?raw",
              TestGuard,
              TestGuard,
-             100},
+             100,
+             LinkRate},
             [&](Result<HttpGetResponse> Value) { Got.set(std::move(Value)); });
     RawConnection Server = Listener_.accept();
     CHECK(Server.receiveHttp().starts_with("GET /v1/kv/k?raw HTTP/1.1\r\n"));
@@ -338,6 +342,53 @@
   }
 }
 
+TEST_CASE("pace leaves half of the link, unless a body would last too long") {
+  // 9 Mbit/s.
+  constexpr double Link = 1'125'000;
+  CHECK(paceOf(5'000, Link) == 0);
+  CHECK(paceOf(100'000, Link) == Link / 2);
+  // A body of 1.4 MB would take 2.5 s.
+  double Rate = paceOf(1'400'000, Link);
+  CHECK(Rate > Link / 2);
+  CHECK(1'400'000 / Rate <= 1);
+}
+
+// Guards against a paced body that loses or repeats a piece, and against a
+// pause that outlasts the request.
+TEST_CASE_FIXTURE(HttpClientFixture, "http get takes a paced body whole") {
+  std::string Body;
+  while (Body.size() < 200'000)
+    Body += std::to_string(Body.size()) + ",";
+  for (bool Cancel : {false, true}) {
+    CAPTURE(Cancel);
+    HttpGetRequest Request{{Loopback, Listener_.port()}, "/"};
+    Request.Timeout_ = Request.ConnectTimeout_ = TestGuard;
+    Request.LinkRate_ = 1'125'000;
+    Waiter<Result<HttpGetResponse>> Got;
+    auto Stop =
+        httpGet(Threads_.Io_, Request, [&](Result<HttpGetResponse> Value) {
+          Got.set(std::move(Value));
+        });
+    RawConnection Server = Listener_.accept();
+    std::string Answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+        "\r\n\r\n" + Body;
+    Server.send(Cancel ? Answer.substr(0, 100'000) : Answer);
+    if (Cancel)
+      Stop();
+    auto Value = Got.take();
+    REQUIRE(Value);
+    if (Cancel) {
+      REQUIRE_FALSE(Value->has_value());
+      CHECK(Value->error().Code_ == ErrorCode::Cancelled);
+      continue;
+    }
+    REQUIRE(Value->has_value());
+    CHECK(Value->value().Response_.Body_ == Body);
+    CHECK(Value->value().ReceivedBytes_ == Answer.size());
+  }
+}
+
 TEST_CASE_FIXTURE(HttpClientFixture, "http get ends at timeout and cancel") {
   for (bool Cancel : {true, false}) {
     CAPTURE(Cancel);
