--- /dev/null
+++ b/src/Node/CallerAttempt.cpp
@@ -0,0 +1,522 @@
+// Attempts of a caller's request. Each has a number; events of an earlier one
+// are ignored.
+
+#include "Node/CallerCall.h"
+
+#include "Calls/Patience.h"
+#include "Support/Addresses.h"
+
+#include <algorithm>
+
+namespace marigold::node {
+namespace {
+
+/// What the end of a call says of its host.
+routing::CallSample sampleOf(const transport::StreamResult &Value,
+                             Duration Latency) {
+  routing::CallSample Sample;
+  if (const auto *Reply = std::get_if<transport::PeerReply>(&Value)) {
+    Sample.ServerError_ = Reply->Start_.Status_ >= 500;
+    Sample.Latency_ = Latency;
+    Sample.Load_ = Reply->End_.Load_;
+  } else if (const auto *Refusal = std::get_if<CallRefused>(&Value)) {
+    Sample.Error_ =
+        errorFromNumber(Refusal->Code_).value_or(ErrorCode::MalformedAnswer);
+    Sample.Load_ = Refusal->Load_;
+  } else {
+    const auto *Lost = std::get_if<transport::StreamLost>(&Value);
+    Sample.Error_ = Lost && !Lost->Written_ ? ErrorCode::ConnectionFailed
+                                            : ErrorCode::NodeLost;
+  }
+  return Sample;
+}
+
+} // namespace
+
+Result<HostId> CallerCall::chooseHost(TimePoint Now) {
+  if (!Owner_)
+    return State_->choose(Tried_, Now);
+  // Only known hosts are called: the key comes from the caller, and its
+  // checksum does not prove who made it.
+  if (!State_->startCall(*Owner_, Now))
+    return fail(ErrorCode::KeyOwnerUnreachable);
+  return *Owner_;
+}
+
+void CallerCall::attempt() {
+  TimePoint Now = std::chrono::steady_clock::now();
+  std::optional<HostId> Host;
+  unsigned Number = 0;
+  ErrorCode Code = ErrorCode::NoTarget;
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Ended_)
+      return;
+    auto Chosen = chooseHost(Now);
+    if (Chosen) {
+      if (!Tracker_.chosen())
+        return;
+      Host = Chosen.value();
+      Number = Tracker_.attempts();
+      Tried_.push_back(*Host);
+      HandedOver_ = false;
+    } else {
+      Code =
+          Tried_.empty() ? Chosen.error().Code_ : ErrorCode::AttemptsExhausted;
+    }
+  }
+  if (Host)
+    send(*Host, Number);
+  else
+    refuse(Code);
+}
+
+void CallerCall::send(const HostId &Host, unsigned Attempt) {
+  CallerSideParts &Parts = Context_->Parts_;
+  if (Parts.Local_ && Host == toHostId(Parts.Settings_.PeerAddress_)) {
+    sendLocal(Host, Attempt);
+    return;
+  }
+  Parts.Peers_.get(Host, [Self = shared_from_this(), Host,
+                          Attempt](Result<transport::PeerConnectionPtr> Value) {
+    if (Value)
+      Self->sendOver(Host, Value.value(), Attempt);
+    else
+      Self->onConnectFailed(Host, Attempt, Value.error());
+  });
+}
+
+bool CallerCall::handOver(unsigned Attempt) {
+  std::lock_guard Lock(Mutex_);
+  if (Ended_ || Tracker_.attempts() != Attempt)
+    return false;
+  // From here on the request may reach the target's node at any time.
+  HandedOver_ = true;
+  limitAttempt();
+  return true;
+}
+
+void CallerCall::limitAttempt() {
+  TimePoint Now = std::chrono::steady_clock::now();
+  calls::AttemptTiming Timing;
+  Timing.Objective_ = Objective_;
+  Timing.Remaining_ = Deadline_.at() - Now;
+  Timing.Repeatable_ = Start_.Repeatable_;
+  Timing.AnotherAttempt_ = ReachedTargets_ + 1 < MaxTargets_;
+  auto Limit = calls::attemptLimit(Timing);
+  TimePoint End = Limit ? Now + *Limit : TimePoint::max();
+  if (End == AttemptEnd_)
+    return;
+  AttemptEnd_ = End;
+  armTimer();
+}
+
+void CallerCall::hedge(unsigned Attempt) {
+  calls::AttemptState State;
+  std::vector<HostId> Tried;
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Ended_ || Tracker_.attempts() != Attempt || Hedge_)
+      return;
+    AttemptEnd_ = TimePoint::max();
+    armTimer();
+    State = stateAfterRun(ErrorCode::AttemptAbandoned);
+    Tried = Tried_;
+  }
+  TimePoint Now = std::chrono::steady_clock::now();
+  if (!State_->retry(State, Deadline_, Now).Retry_)
+    return;
+  auto Chosen = State_->choose(Tried, Now);
+  if (!Chosen)
+    return;
+  bool Late = false;
+  {
+    std::lock_guard Lock(Mutex_);
+    Late = Ended_;
+    if (!Late) {
+      Hedge_.emplace();
+      Hedge_->Host_ = Chosen.value();
+      // The last one is the host of the attempt that goes on.
+      Tried_.insert(Tried_.begin(), Chosen.value());
+      ++ReachedTargets_;
+    }
+  }
+  if (Late) {
+    State_->onResult(Chosen.value(), {ErrorCode::Cancelled, false, {}, {}},
+                     Now);
+    return;
+  }
+  State_->Counters_.Retries_.fetch_add(1, std::memory_order_relaxed);
+  sendHedge(Chosen.value());
+}
+
+void CallerCall::sendHedge(const HostId &Host) {
+  CallerSideParts &Parts = Context_->Parts_;
+  TimePoint Sent = std::chrono::steady_clock::now();
+  if (Parts.Local_ && Host == toHostId(Parts.Settings_.PeerAddress_)) {
+    std::uint64_t Number = Parts.Local_->callLocal(
+        makeStart(), Body_,
+        [Self = shared_from_this(), Host, Sent](transport::StreamResult Value) {
+          Self->onHedge(Host, Sent, std::move(Value));
+        });
+    bool Late = false;
+    {
+      std::lock_guard Lock(Mutex_);
+      Late = Ended_;
+      Hedge_->Sent_.LocalNumber_ = Number;
+    }
+    if (Late)
+      Parts.Local_->cancelLocal(Number);
+    return;
+  }
+  Parts.Peers_.get(Host, [Self = shared_from_this(), Host,
+                          Sent](Result<transport::PeerConnectionPtr> Value) {
+    if (Value)
+      Self->sendHedgeOver(Host, Value.value());
+    else
+      Self->onHedge(Host, Sent, transport::StreamLost{false, Value.error()});
+  });
+}
+
+void CallerCall::sendHedgeOver(const HostId &Host,
+                               const transport::PeerConnectionPtr &Connection) {
+  {
+    std::lock_guard Lock(Mutex_);
+    if (!hedgePending())
+      return;
+  }
+  TimePoint Sent = std::chrono::steady_clock::now();
+  std::uint32_t Stream = Connection->call(
+      makeStart(), Body_,
+      [Self = shared_from_this(), Host, Sent](transport::StreamResult Value) {
+        Self->onHedge(Host, Sent, std::move(Value));
+      });
+  bool Late = false;
+  {
+    std::lock_guard Lock(Mutex_);
+    Late = Ended_;
+    if (!Late) {
+      Hedge_->Sent_ = {Connection, Stream, {}};
+    }
+  }
+  if (Late)
+    Connection->cancel(Stream);
+}
+
+void CallerCall::onHedge(const HostId &Host, TimePoint Sent,
+                         transport::StreamResult Value) {
+  TimePoint Now = std::chrono::steady_clock::now();
+  auto *Reply = std::get_if<transport::PeerReply>(&Value);
+  bool Failed = !Reply || Reply->Start_.Status_ >= 500;
+  std::optional<ErrorCode> End;
+  {
+    std::lock_guard Lock(Mutex_);
+    // cancelHedge has reported it then.
+    if (!hedgePending())
+      return;
+    Hedge_->Pending_ = false;
+    Hedge_->Sent_ = {};
+    if (!Ended_ && !Failed)
+      Ended_ = true;
+    else if (!Ended_)
+      End = EndsWith_;
+    if (Reply && Failed && !Fallback_)
+      Fallback_ = std::move(*Reply);
+    Trace_ += (Trace_.empty() ? "" : ",") + toText(Host) +
+              (Failed ? "/hedge-failed" : "/hedge-ok");
+  }
+  State_->onResult(Host, sampleOf(Value, Now - Sent), Now);
+  if (Failed) {
+    if (End)
+      finishWithError(*End);
+    return;
+  }
+  {
+    std::lock_guard Lock(Mutex_);
+    Timer_.cancel();
+  }
+  cancelAttempt();
+  respond(std::move(*Reply));
+}
+
+void CallerCall::cancelHedge() {
+  HedgedAttempt Cancelled;
+  {
+    std::lock_guard Lock(Mutex_);
+    if (!hedgePending())
+      return;
+    Hedge_->Pending_ = false;
+    Cancelled = *Hedge_;
+  }
+  cancelSent(Cancelled.Sent_);
+  State_->onResult(Cancelled.Host_, {ErrorCode::Cancelled, false, {}, {}},
+                   std::chrono::steady_clock::now());
+}
+
+CallStart CallerCall::makeStart() const {
+  CallStart Start = Start_;
+  TimePoint Now = std::chrono::steady_clock::now();
+  Start.Remaining_ = std::chrono::duration_cast<std::chrono::microseconds>(
+      Deadline_.forNextLevel(Now));
+  if (Start.Routed_)
+    Start.Objective_ = std::chrono::duration_cast<std::chrono::microseconds>(
+        ObjectiveAt_ - Now);
+  return Start;
+}
+
+void CallerCall::sendOver(const HostId &Host,
+                          const transport::PeerConnectionPtr &Connection,
+                          unsigned Attempt) {
+  TimePoint Sent = std::chrono::steady_clock::now();
+  if (!handOver(Attempt)) {
+    reportCancelled(Host, Attempt);
+    return;
+  }
+  std::uint32_t Stream =
+      Connection->call(makeStart(), Body_,
+                       [Self = shared_from_this(), Host, Attempt,
+                        Sent](transport::StreamResult Value) {
+                         Self->onStream(Host, Attempt, Sent, std::move(Value));
+                       });
+  bool Late = false;
+  {
+    std::lock_guard Lock(Mutex_);
+    Late = Ended_;
+    if (!Late && Tracker_.attempts() == Attempt) {
+      Sent_ = {Connection, Stream, {}};
+    }
+  }
+  if (!Late)
+    return;
+  Connection->cancel(Stream);
+  reportCancelled(Host, Attempt);
+}
+
+void CallerCall::sendLocal(const HostId &Host, unsigned Attempt) {
+  TimePoint Sent = std::chrono::steady_clock::now();
+  if (!handOver(Attempt)) {
+    reportCancelled(Host, Attempt);
+    return;
+  }
+  TargetSide &Local = *Context_->Parts_.Local_;
+  std::uint64_t Number =
+      Local.callLocal(makeStart(), Body_,
+                      [Self = shared_from_this(), Host, Attempt,
+                       Sent](transport::StreamResult Value) {
+                        Self->onStream(Host, Attempt, Sent, std::move(Value));
+                      });
+  bool Late = false;
+  {
+    std::lock_guard Lock(Mutex_);
+    Late = Ended_;
+    if (!Late && Tracker_.attempts() == Attempt)
+      Sent_.LocalNumber_ = Number;
+  }
+  if (Late)
+    Local.cancelLocal(Number);
+}
+
+void CallerCall::onConnectFailed(const HostId &Host, unsigned Attempt,
+                                 const Failure &Why) {
+  report(Host, Attempt, {ErrorCode::ConnectionFailed, false, {}, {}});
+  if (Why.Code_ != ErrorCode::ProtocolVersion)
+    Context_->Parts_.Environment_.reportHostFailure(Host);
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Ended_ || Tracker_.attempts() != Attempt)
+      return;
+    Tracker_.connectFailed();
+  }
+  onAttemptFailed(Attempt);
+}
+
+void CallerCall::onStream(const HostId &Host, unsigned Attempt, TimePoint Sent,
+                          transport::StreamResult Value) {
+  if (auto *Reply = std::get_if<transport::PeerReply>(&Value)) {
+    onReply(Host, Attempt, Sent, std::move(*Reply));
+    return;
+  }
+  auto *Refusal = std::get_if<CallRefused>(&Value);
+  auto *Lost = std::get_if<transport::StreamLost>(&Value);
+  std::chrono::milliseconds RefusedAfter{};
+  if (Refusal)
+    RefusedAfter = Refusal->RetryAfter_;
+  if (Lost && Lost->Why_.Code_ == ErrorCode::ConnectionFailed)
+    Context_->Parts_.Environment_.reportHostFailure(Host);
+  report(Host, Attempt, sampleOf(Value, Duration::zero()));
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Ended_ || Tracker_.attempts() != Attempt)
+      return;
+    Sent_ = {};
+    if (Lost && !Lost->Written_) {
+      Tracker_.connectFailed();
+    } else {
+      Tracker_.sentFirstByte();
+      if (Refusal)
+        Tracker_.refusedByNumber(Refusal->Code_);
+      else
+        Tracker_.connectionLost();
+    }
+    auto Reason = Tracker_.lastReason();
+    if (Reason && errorOutcome(*Reason) == Outcome::Unknown)
+      ++UnknownAttempts_;
+    if (Reason && calls::RetryPolicy::reachedTarget(*Reason))
+      ++ReachedTargets_;
+    if (RefusedAfter.count() != 0)
+      RetryAfter_ = RetryAfter_.count() == 0
+                        ? RefusedAfter
+                        : std::min(RetryAfter_, RefusedAfter);
+  }
+  onAttemptFailed(Attempt);
+}
+
+void CallerCall::onReply(const HostId &Host, unsigned Attempt, TimePoint Sent,
+                         transport::PeerReply Reply) {
+  TimePoint Now = std::chrono::steady_clock::now();
+  report(Host, Attempt,
+         {std::nullopt, Reply.Start_.Status_ >= 500, Now - Sent,
+          Reply.End_.Load_});
+  if (Reply.Start_.Status_ >= 500 && retryAnswer(Attempt, Reply))
+    return;
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Ended_ || Tracker_.attempts() != Attempt)
+      return;
+    if (Reply.Start_.Status_ >= 500 && hedgePending()) {
+      // The hedge may still do better.
+      Fallback_ = std::move(Reply);
+      EndsWith_ = ErrorCode::TargetLost;
+      Sent_ = {};
+      return;
+    }
+    Tracker_.sentFirstByte();
+    Tracker_.firstAnswerByte();
+    Tracker_.answerComplete();
+    Ended_ = true;
+    Sent_ = {};
+    Timer_.cancel();
+  }
+  cancelHedge();
+  respond(std::move(Reply));
+}
+
+calls::AttemptState CallerCall::stateAfterRun(ErrorCode Reason) const {
+  calls::AttemptState State = attemptState(Reason);
+  ++State.UnknownAttempts_;
+  ++State.ReachedTargets_;
+  State.MayHaveRun_ = true;
+  return State;
+}
+
+bool CallerCall::retryAnswer(unsigned Attempt, transport::PeerReply &Reply) {
+  calls::AttemptState State;
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Ended_ || Tracker_.attempts() != Attempt || !Start_.Routed_ ||
+        Fallback_ || Hedge_)
+      return false;
+    State = stateAfterRun(ErrorCode::TargetLost);
+  }
+  if (!State_->retry(State, Deadline_, std::chrono::steady_clock::now()).Retry_)
+    return false;
+  State_->Counters_.Retries_.fetch_add(1, std::memory_order_relaxed);
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Ended_ || Tracker_.attempts() != Attempt)
+      return false;
+    Fallback_ = std::move(Reply);
+    Tracker_.sentFirstByte();
+    Tracker_.answerInvalid(ErrorCode::TargetLost);
+    ++UnknownAttempts_;
+    ++ReachedTargets_;
+    Sent_ = {};
+  }
+  attempt();
+  return true;
+}
+
+calls::AttemptState CallerCall::attemptState(ErrorCode Reason) const {
+  calls::AttemptState State;
+  State.Reason_ = Reason;
+  State.Attempts_ = Tracker_.attempts();
+  State.UnknownAttempts_ = UnknownAttempts_;
+  State.MayHaveRun_ = Tracker_.mayHaveRun();
+  State.Repeatable_ = Start_.Repeatable_;
+  State.Keyed_ = Owner_.has_value();
+  State.ReachedTargets_ = ReachedTargets_;
+  State.MaxTargets_ = MaxTargets_;
+  return State;
+}
+
+void CallerCall::onAttemptFailed(unsigned Attempt) {
+  calls::AttemptState State;
+  calls::Verdict Verdict;
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Ended_ || Tracker_.attempts() != Attempt)
+      return;
+    State = attemptState(Tracker_.lastReason().value_or(ErrorCode::NoTarget));
+    Verdict = Tracker_.verdict();
+    if (hedgePending()) {
+      EndsWith_ = Verdict.Reason_.value_or(State.Reason_);
+      return;
+    }
+  }
+  calls::RetryDecision Decision =
+      State_->retry(State, Deadline_, std::chrono::steady_clock::now());
+  if (Decision.Retry_) {
+    State_->Counters_.Retries_.fetch_add(1, std::memory_order_relaxed);
+    attempt();
+    return;
+  }
+  if (Decision.DeniedByBudget_)
+    State_->Counters_.RetriesDenied_.fetch_add(1, std::memory_order_relaxed);
+  bool FinalFits = Verdict.Outcome_ == Outcome::NotRun &&
+                   errorOutcome(Decision.Final_) == Outcome::NotRun;
+  finishWithError(FinalFits ? Decision.Final_
+                            : Verdict.Reason_.value_or(Decision.Final_));
+}
+
+void CallerCall::cancelAttempt() {
+  SentRequest Cancelled;
+  HostId Host;
+  unsigned Attempt = 0;
+  {
+    std::lock_guard Lock(Mutex_);
+    Attempt = Tracker_.attempts();
+    Cancelled = std::exchange(Sent_, {});
+    if (!Tried_.empty())
+      Host = Tried_.back();
+  }
+  cancelSent(Cancelled);
+  // The connection reports nothing more for a cancelled stream.
+  if (Cancelled.Connection_)
+    reportCancelled(Host, Attempt);
+}
+
+void CallerCall::cancelSent(const SentRequest &Sent) {
+  if (Sent.Connection_)
+    Sent.Connection_->cancel(Sent.Stream_);
+  if (Sent.LocalNumber_)
+    Context_->Parts_.Local_->cancelLocal(*Sent.LocalNumber_);
+}
+
+void CallerCall::report(const HostId &Host, unsigned Attempt,
+                        const routing::CallSample &Sample) {
+  {
+    std::lock_guard Lock(Mutex_);
+    if (Reported_ >= Attempt)
+      return;
+    Reported_ = Attempt;
+    Trace_ += (Trace_.empty() ? "" : ",") + toText(Host) + "/" +
+              std::string(Sample.Error_ ? errorText(*Sample.Error_) : "ok");
+  }
+  State_->onResult(Host, Sample, std::chrono::steady_clock::now());
+}
+
+void CallerCall::reportCancelled(const HostId &Host, unsigned Attempt) {
+  report(Host, Attempt, {ErrorCode::Cancelled, false, {}, {}});
+}
+
+} // namespace marigold::node
--- a/src/Transport/HttpGet.cpp
+++ b/src/Transport/HttpGet.cpp
@@ -4,6 +4,7 @@
 #include "Transport/HttpHead.h"
 
 #include "Support/Addresses.h"
+#include "Support/LinkRate.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,12 +29,10 @@
 
 /// Bytes that are taken at once from a paced body.
 constexpr std::size_t PieceSize = std::size_t{16} * 1024;
-/// Part of the link that a paced body takes.
-constexpr double PacedShare = 0.5;
-/// Longest time to which pacing stretches a body: a third of the time in which
-/// a version has to be in force at the target's scale (3 s), less a margin for
-/// the pause between two reads.
-constexpr std::chrono::duration<double> PacedTime(0.7);
+/// Longest time to which pacing stretches a body, in seconds. A version has to
+/// be in force 3 s after it was written (target), and one that is written just
+/// after a read began waits for two of them.
+constexpr double PacedTime = 0.7;
 
 class GetOperation : public std::enable_shared_from_this<GetOperation> {
 public:
@@ -188,8 +187,8 @@
 double paceOf(std::uint64_t Size, double LinkRate) {
   if (Size <= PieceSize)
     return 0;
-  return std::max(LinkRate * PacedShare,
-                  static_cast<double>(Size) / PacedTime.count());
+  return std::max(LinkRate * SourceLinkShare,
+                  static_cast<double>(Size) / PacedTime);
 }
 
 HttpGetCancel httpGet(asio::io_context &Io, HttpGetRequest Request,
--- a/src/Transport/HttpGet.h
+++ b/src/Transport/HttpGet.h
@@ -32,8 +32,8 @@
   double LinkRate_ = 0;
 };
 
-/// Rate in bytes a second at which a body of Size bytes is taken from a link of
-/// LinkRate; 0 for as fast as it comes.
+/// Rate at which a body of Size bytes is taken from a link of LinkRate, both in
+/// bytes a second; 0 for as fast as it comes.
 ///
 /// Load pattern: large versions arrive at a host with a slow link while it
 /// serves calls. A version that takes all of the link holds each call up for as
