A paced change lasts half a second at most

Versions of 484 KB, 645 KB as sent, follow each other; the answer under way and the next one took 1.9 and 1.4 s of the node's link of 9 Mbit/s, and the pace stretched each.

Ruled out: a failed watch (none on that node), several versions in one answer (one each).

--- a/src/Transport/HttpGet.cpp
+++ b/src/Transport/HttpGet.cpp
@@ -29,10 +29,11 @@
 
 /// Bytes that are taken at once from a paced body.
 constexpr std::size_t PieceSize = std::size_t{16} * 1024;
-/// Longest time to which pacing stretches a body, in seconds. A version has to
-/// be in force 3 s after it was written (target), and one that is written just
-/// after a read began waits for two of them.
-constexpr double PacedTime = 0.7;
+/// Longest time to which pacing stretches a body, in seconds. A change has to
+/// be known within 2.5 to 3 s. One that is made just after an answer began
+/// waits for the rest of it and for the next one, and each takes longer than
+/// planned on a link that calls use, too.
+constexpr double PacedTime = 0.5;
 
 class GetOperation : public std::enable_shared_from_this<GetOperation> {
 public:
