--- a/src/Distribution/PullPlanner.cpp
+++ b/src/Distribution/PullPlanner.cpp
@@ -1,6 +1,7 @@
 #include "Distribution/PullPlanner.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace marigold::distribution {
 namespace {
@@ -23,33 +24,38 @@
 PullPlanner::PullPlanner(const VersionStore &Store, Random Rng)
     : Store_(Store), Rng_(Rng), Backoff_(FirstBackoff, MaxBackoff) {}
 
+bool PullPlanner::isNews(const Candidate &Known, std::uint64_t Listed) const {
+  return Known.Version_ > Store_.version() || Known.Listed_ > Listed;
+}
+
 void PullPlanner::onSummary(const HostId &Peer, const NodeSummary &Summary,
-                            TimePoint) {
+                            TimePoint, std::uint64_t Listed) {
   if (Summary.Version_ == Store_.version() &&
       Summary.Digest_ != Store_.digest().Low_)
     ++Conflicts_;
-  if (Summary.Version_ <= Store_.version())
+  Candidate Offered{Peer, Summary.Version_, Summary.SourceRevision_, false};
+  if (!isNews(Offered, Listed))
     return;
   std::erase_if(Candidates_,
                 [&](const Candidate &Known) { return Known.Peer_ == Peer; });
   if (Candidates_.size() == MaxCandidates_)
     Candidates_.erase(Candidates_.begin());
-  Candidates_.push_back({Peer, Summary.Version_, false});
+  Candidates_.push_back(Offered);
 }
 
-std::optional<Pull> PullPlanner::tick(TimePoint Now) {
+std::optional<Pull> PullPlanner::tick(TimePoint Now, std::uint64_t Listed) {
   if (Running_ && Now >= Deadline_)
     Running_.reset();
-  std::erase_if(Candidates_, [&](const Candidate &Known) {
-    return Known.Version_ <= Store_.version();
-  });
+  std::erase_if(Candidates_,
+                [&](const Candidate &Known) { return !isNews(Known, Listed); });
   if (Running_ || Candidates_.empty() || Now < NotBefore_)
     return std::nullopt;
   std::shuffle(Candidates_.begin(), Candidates_.end(), Rng_.engine());
   auto Best =
       std::max_element(Candidates_.begin(), Candidates_.end(),
                        [](const Candidate &Left, const Candidate &Right) {
-                         return Left.Version_ < Right.Version_;
+                         return std::tie(Left.Version_, Left.Listed_) <
+                                std::tie(Right.Version_, Right.Listed_);
                        });
   Running_ = *Best;
   Candidates_.erase(Best);
--- a/src/Distribution/PullPlanner.h
+++ b/src/Distribution/PullPlanner.h
@@ -18,18 +18,21 @@
   SyncRequest Request_;
 };
 
-/// Pulls each version once: one pull runs at a time, further peers that have
-/// the version are kept for the case that it fails.
+/// Pulls each version, and each change of the list of targets, once: one pull
+/// runs at a time, further peers that have the news are kept for the case that
+/// it fails.
 class PullPlanner {
 public:
   /// Store must outlive it.
   PullPlanner(const VersionStore &Store, Random Rng);
 
-  /// A peer told its state by probe, answer or advert.
-  void onSummary(const HostId &Peer, const NodeSummary &Summary, TimePoint Now);
+  /// A peer told its state by probe, answer or advert. Listed is the revision
+  /// of the list of targets held.
+  void onSummary(const HostId &Peer, const NodeSummary &Summary, TimePoint Now,
+                 std::uint64_t Listed = 0);
 
   /// A pull that is due, if any.
-  std::optional<Pull> tick(TimePoint Now);
+  std::optional<Pull> tick(TimePoint Now, std::uint64_t Listed = 0);
 
   /// The pull ended with the result of VersionStore::offerReply, or with an
   /// error of the connection.
@@ -42,9 +45,12 @@
   struct Candidate {
     HostId Peer_;
     ConfigVersion Version_;
+    std::uint64_t Listed_ = 0;
     bool Whole_ = false;
   };
 
+  bool isNews(const Candidate &Known, std::uint64_t Listed) const;
+
   static constexpr std::size_t MaxCandidates_ = 8;
   static constexpr Duration Timeout_ = std::chrono::seconds(5);
 
--- a/src/Distribution/SourceReader.cpp
+++ b/src/Distribution/SourceReader.cpp
@@ -41,7 +41,7 @@
   SourceActions Out;
   if (Now < RoleFrom_ || Now < NotBefore_)
     return Out;
-  bool Reader = isReader(Now);
+  bool Reader = actsAsReader(Now);
   watch(Reader, Now, Out);
   fetch(Now, Out);
   if (Reader)
@@ -49,6 +49,19 @@
   return Out;
 }
 
+/// Whether the node has the role of a reader, or takes it over at once.
+bool SourceReader::actsAsReader(TimePoint Now) {
+  if (isReader(Now))
+    return true;
+  if (Options_.Takeover_ != Takeover::AtOnce)
+    return false;
+  if (Confirmation_.age(Now) >= Options_.StaleAfter_) {
+    Takeovers_ += Now >= ActsUntil_ ? 1 : 0;
+    ActsUntil_ = Now + Options_.TakeoverHold_;
+  }
+  return Now < ActsUntil_;
+}
+
 void SourceReader::watch(bool Reader, TimePoint Now, SourceActions &Out) {
   if (WatchRunning_ || Now < NextWatch_)
     return;
@@ -160,7 +173,7 @@
 }
 
 bool SourceReader::takesOver(TimePoint Now) {
-  if (Now < NextTakeoverDraw_)
+  if (Options_.Takeover_ != Takeover::Spread || Now < NextTakeoverDraw_)
     return false;
   NextTakeoverDraw_ = Now + TakeoverDraw;
   Duration Overdue = Confirmation_.age(Now) - Options_.StaleAfter_;
--- a/src/Distribution/SourceReader.h
+++ b/src/Distribution/SourceReader.h
@@ -19,6 +19,16 @@
   EveryNode
 };
 
+/// Who reads the source in mode Peers once no confirmation by it is young
+/// enough.
+enum class Takeover : std::uint8_t {
+  /// A few random nodes, more with time.
+  Spread,
+  /// Every node, until confirmations of others have been young for a while.
+  /// For bounds that leave no time to wait for others.
+  AtOnce
+};
+
 /// Start a blocking read of the key names (?keys). The answer goes to onKeys
 /// or onFailure.
 struct WatchKeys {
@@ -65,8 +75,14 @@
   Duration RestartSpread_ = std::chrono::seconds(10);
   /// Time between the fetches of two readers.
   Duration FetchStep_ = std::chrono::milliseconds(150);
-  /// Age of the last source confirmation from which on any node may read.
+  /// Setting source-stale-after: age of the last source confirmation from
+  /// which on any node may read.
   std::chrono::milliseconds StaleAfter_ = std::chrono::seconds(10);
+  /// Setting source-takeover.
+  Takeover Takeover_ = Takeover::Spread;
+  /// Time for which a node acts as a reader after a takeover at once, so that
+  /// it does not change its role with each late confirmation.
+  Duration TakeoverHold_ = std::chrono::seconds(3);
   /// Time in which the expected number of such reads in the fleet doubles.
   Duration TakeoverDoubling_ = std::chrono::seconds(5);
   /// Highest expected number of such reads per second in the whole fleet;
@@ -120,6 +136,7 @@
 
 private:
   bool isHandled(std::uint64_t Index) const;
+  bool actsAsReader(TimePoint Now);
   bool takesOver(TimePoint Now);
   void planFetch(TimePoint Now);
   void fetch(TimePoint Now, SourceActions &Out);
@@ -141,6 +158,8 @@
   TimePoint NextWatch_;
   TimePoint NextHosts_;
   TimePoint NextTakeoverDraw_;
+  /// End of the time for which a takeover at once lasts.
+  TimePoint ActsUntil_;
   bool WatchRunning_ = false;
   bool FetchRunning_ = false;
   bool HostsRunning_ = false;
--- a/src/Distribution/SpreadPolicy.cpp
+++ b/src/Distribution/SpreadPolicy.cpp
@@ -10,9 +10,11 @@
   bool NewVersion = Summary.Version_ > Advertised_;
   bool NewRefusal = Summary.Refused_.Version_.Revision_ != 0 &&
                     Summary.Refused_ != AdvertisedRefusal_;
-  if (!NewVersion && !NewRefusal)
+  bool NewList = Summary.SourceRevision_ > AdvertisedList_;
+  if (!NewVersion && !NewRefusal && !NewList)
     return {};
   Advertised_ = std::max(Advertised_, Summary.Version_);
+  AdvertisedList_ = std::max(AdvertisedList_, Summary.SourceRevision_);
   AdvertisedRefusal_ = Summary.Refused_;
   const std::vector<HostId> &Local = Table.hostsOfFailureDomain(FailureDomain_);
   std::vector<HostId> Remote;
--- a/src/Distribution/SpreadPolicy.h
+++ b/src/Distribution/SpreadPolicy.h
@@ -32,9 +32,9 @@
       : Fanout_(fanout(Profile)), Own_(Own),
         FailureDomain_(std::move(FailureDomain)), Rng_(Rng) {}
 
-  /// Receivers of an advert, if Summary has a version or refusal that was not
-  /// advertised before; none otherwise. From is the peer that sent the news;
-  /// it is left out.
+  /// Receivers of an advert, if Summary has a version, a revision of the list
+  /// of targets or a refusal that was not advertised before; none otherwise.
+  /// From is the peer that sent the news; it is left out.
   std::vector<HostId> receivers(const NodeSummary &Summary,
                                 const membership::HostTable &Table,
                                 const std::optional<HostId> &From);
@@ -49,6 +49,7 @@
   std::string FailureDomain_;
   Random Rng_;
   ConfigVersion Advertised_;
+  std::uint64_t AdvertisedList_ = 0;
   Refusal AdvertisedRefusal_;
 };
 
--- a/src/Membership/HostListMerger.h
+++ b/src/Membership/HostListMerger.h
@@ -27,6 +27,11 @@
   std::optional<std::vector<ListedTarget>> Targets_ = {};
   /// Entries that could not be used since the list before.
   std::size_t Unusable_ = 0;
+  /// Revision of the source up to which Targets_ holds every change; 0 on
+  /// platforms without one.
+  std::uint64_t Revision_ = 0;
+  /// Revision of the newest configuration up to Revision_.
+  std::uint64_t ConfigRevision_ = 0;
 };
 
 /// Turns reads of the host list into records to merge. The list lags, so it
--- a/src/Membership/TargetDirectory.cpp
+++ b/src/Membership/TargetDirectory.cpp
@@ -14,41 +14,121 @@
 
 } // namespace
 
-void TargetDirectory::apply(std::vector<ListedTarget> Listed, TimePoint Now) {
-  if (std::exchange(Failed_, false) && Known_)
-    HoldUntil_ = Now + LapseGrace_;
-  bool Hold = HoldUntil_ && Now < *HoldUntil_;
-  Known_ = true;
+void TargetDirectory::Entry::change(ListedTarget Target, bool Missing,
+                                    std::uint64_t Revision) {
+  if (isOlder(Target, Target_))
+    Target = Target_;
+  if (Target != Target_ || Missing != Missing_)
+    ChangedAt_ = Revision;
+  Target_ = std::move(Target);
+  Missing_ = Missing;
+}
+
+void TargetDirectory::begin(std::uint64_t Revision, TimePoint Now) {
+  // What was removed before the first list is not known.
+  if (!std::exchange(Known_, true))
+    ForgottenUpTo_ = Revision;
+  Revision_ = Revision;
   ReadAt_ = Now;
+}
+
+void TargetDirectory::apply(std::vector<ListedTarget> Listed, TimePoint Now,
+                            std::uint64_t Revision) {
+  if (Revision < Revision_)
+    return;
+  begin(Revision, Now);
+  bool Hold = HoldUntil_ && Now < *HoldUntil_;
   std::set<std::string, std::less<>> Named;
   for (ListedTarget &Target : Listed) {
     Named.insert(Target.Instance_);
-    auto [Position, Inserted] = Entries_.try_emplace(Target.Instance_);
-    Entry &Held = Position->second;
-    if (Inserted || !isOlder(Target, Held.Target_))
-      Held.Target_ = std::move(Target);
+    auto [Position, Inserted] =
+        Entries_.try_emplace(Target.Instance_, Entry{Target, false, Revision});
+    if (!Inserted)
+      Position->second.change(std::move(Target), false, Revision);
   }
   for (auto &[Instance, Held] : Entries_)
-    Held.Missing_ = !Named.contains(Instance);
-  std::erase_if(Entries_, [&](const auto &Pair) {
-    // A leaving target that is no longer listed has left.
-    return Pair.second.Missing_ && (!Hold || Pair.second.Target_.Leaving_);
+    if (!Named.contains(Instance))
+      Held.change(Held.Target_, true, Revision);
+  // A leaving target that is no longer listed has left.
+  removeIf([&](const Entry &Held) {
+    return Held.Missing_ && (!Hold || Held.Target_.Leaving_);
+  });
+  index();
+}
+
+TargetChanges TargetDirectory::changesSince(std::uint64_t Revision) const {
+  TargetChanges Changes;
+  if (Revision >= Revision_)
+    return Changes;
+  Changes.Revision_ = Revision_;
+  Changes.Base_ = Revision < ForgottenUpTo_ ? 0 : Revision;
+  for (const auto &[Instance, Held] : Entries_) {
+    if (Changes.Base_ != 0 && Held.ChangedAt_ <= Changes.Base_)
+      continue;
+    Changes.Changed_.push_back(Held.Target_);
+  }
+  if (Changes.Base_ != 0)
+    for (const auto &[Instance, RemovedAt] : Removals_)
+      if (RemovedAt > Changes.Base_ && !Entries_.contains(Instance))
+        Changes.Removed_.push_back(Instance);
+  return Changes;
+}
+
+bool TargetDirectory::merge(const TargetChanges &Changes, TimePoint Now) {
+  bool Whole = Changes.Base_ == 0;
+  if (Changes.Revision_ <= Revision_ || (!Whole && Changes.Base_ > Revision_))
+    return false;
+  begin(Changes.Revision_, Now);
+  std::set<std::string_view> Named;
+  for (const ListedTarget &Target : Changes.Changed_) {
+    Named.insert(Target.Instance_);
+    auto [Position, Inserted] =
+        Entries_.try_emplace(Target.Instance_, Entry{Target, false, Revision_});
+    if (!Inserted)
+      Position->second.change(Target, false, Revision_);
+  }
+  std::set<std::string_view> Removed(Changes.Removed_.begin(),
+                                     Changes.Removed_.end());
+  removeIf([&](const Entry &Held) {
+    const std::string &Instance = Held.Target_.Instance_;
+    return Removed.contains(Instance) || (Whole && !Named.contains(Instance));
   });
   index();
+  return true;
 }
 
 bool TargetDirectory::expire(TimePoint Now) {
   if (!HoldUntil_ || Now < *HoldUntil_)
     return false;
   HoldUntil_.reset();
-  bool Changed = std::erase_if(Entries_, [](const auto &Pair) {
-                   return Pair.second.Missing_;
-                 }) != 0;
+  bool Changed = removeIf([](const Entry &Held) { return Held.Missing_; });
   if (Changed)
     index();
   return Changed;
 }
 
+std::vector<ListedTarget> TargetDirectory::targets() const {
+  std::vector<ListedTarget> Targets;
+  Targets.reserve(Entries_.size());
+  for (const auto &[Instance, Held] : Entries_)
+    Targets.push_back(Held.Target_);
+  return Targets;
+}
+
+/// Removes the entries for which Remove holds; whether there were any.
+template <class Predicate> bool TargetDirectory::removeIf(Predicate Remove) {
+  std::size_t Before = Entries_.size();
+  std::erase_if(Entries_, [&](const auto &Pair) {
+    if (!Remove(Pair.second))
+      return false;
+    Removals_.emplace_back(Pair.first, Revision_);
+    return true;
+  });
+  for (; Removals_.size() > RemovalsKept_; Removals_.pop_front())
+    ForgottenUpTo_ = Removals_.front().second;
+  return Entries_.size() != Before;
+}
+
 const ListedTarget *TargetDirectory::find(const HostId &Node) const {
   auto Position = ByNode_.find(Node);
   return Position == ByNode_.end() ? nullptr : Position->second;
@@ -65,7 +145,9 @@
 
 void TargetDirectory::index() {
   ByNode_.clear();
+  Lapsed_ = false;
   for (const auto &[Instance, Held] : Entries_) {
+    Lapsed_ = Lapsed_ || Held.Missing_;
     const ListedTarget *&Newest = ByNode_[Held.Target_.Node_];
     if (!Newest || isOlder(*Newest, Held.Target_))
       Newest = &Held.Target_;
--- a/src/Membership/TargetDirectory.h
+++ b/src/Membership/TargetDirectory.h
@@ -4,54 +4,59 @@
 #include "Support/Clock.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace marigold::membership {
 
-/// One target as the platform's list of targets names it.
-struct ListedTarget {
-  /// Name of the target's instance, unique among the targets of a list. A
-  /// restarted target may keep it.
-  std::string Instance_;
-  /// Peer address of the node beside the target.
-  HostId Node_;
-  /// Service that the target runs.
-  std::string Service_;
-  /// Failure domain of the target's host.
-  std::string FailureDomain_;
-  /// Requests that the target runs at once; 0 when the list does not say.
-  std::uint32_t Slots_ = 0;
-  /// The target is about to stop and takes no new requests.
-  bool Leaving_ = false;
-  /// Start of the target's process by its own clock, since the Unix epoch.
-  std::chrono::milliseconds StartedAt_{};
-  /// Number of the report within one run of the target's process.
-  std::uint64_t Sequence_ = 0;
-
-  friend bool operator==(const ListedTarget &, const ListedTarget &) = default;
-};
+using marigold::ListedTarget;
 
 /// The platform's list of targets, on platforms that have one. The list is
 /// authoritative: a target that it does not name, or names as leaving, takes
 /// no new requests. After an outage of the platform, entries may be missing
 /// although their targets live; those are kept for a grace.
+///
+/// Nodes pass the list on to each other as changes between two revisions of
+/// the source. A node's list is therefore always that of one revision, and is
+/// never replaced by that of an earlier one.
 class TargetDirectory {
 public:
-  /// Time after the first successful read that follows a failed one for which
-  /// missing entries are kept. Live targets are listed again within about two
-  /// seconds of the end of an outage.
+  /// Time after the end of an outage for which missing entries are kept. Live
+  /// targets are listed again within about two seconds of it.
   static constexpr Duration LapseGrace_ = std::chrono::milliseconds(2500);
 
-  /// Replaces the list. An entry that is older than the one held for the same
-  /// instance is ignored.
-  void apply(std::vector<ListedTarget> Listed, TimePoint Now);
+  /// Removed instances that are remembered, so that a peer which is behind gets
+  /// changes instead of the whole list: more than change between two rounds of
+  /// a source of a few thousand targets.
+  static constexpr std::size_t RemovalsKept_ = 256;
+
+  /// Replaces the list by one that holds every change up to Revision; 0 on
+  /// platforms without revisions. A list of an earlier revision than the one
+  /// held is ignored, as is an entry that is older than the one held for the
+  /// same instance.
+  void apply(std::vector<ListedTarget> Listed, TimePoint Now,
+             std::uint64_t Revision = 0);
+
+  /// Changes after a revision, or the whole list if they are not known any
+  /// more. Revision_ 0 in the result when there are none.
+  TargetChanges changesSince(std::uint64_t Revision) const;
+
+  /// Takes over the changes that a peer sent. False if they lead to no later
+  /// revision or start from one that is not reached yet; nothing changed then.
+  bool merge(const TargetChanges &Changes, TimePoint Now);
 
-  /// A read of the list failed.
-  void onSourceFailure() { Failed_ = true; }
+  /// The platform answers again after an outage: entries that the list lacks
+  /// now may be back soon.
+  void onOutageEnded(TimePoint Now) { HoldUntil_ = Now + LapseGrace_; }
+
+  /// Whether entries are kept that the list lacks. Such a list is not passed
+  /// on: the grace of one node must not delay what another one knows.
+  bool hasLapsed() const { return Lapsed_; }
 
   /// Drops missing entries whose grace has ended. True when there were any.
   bool expire(TimePoint Now);
@@ -62,6 +67,13 @@
   /// Time of the last successful read.
   TimePoint readAt() const { return ReadAt_; }
 
+  /// Revision of the source up to which the list holds every change; 0 without
+  /// a list or without revisions.
+  std::uint64_t revision() const { return Revision_; }
+
+  /// All entries of the list.
+  std::vector<ListedTarget> targets() const;
+
   /// Number of targets.
   std::size_t size() const { return ByNode_.size(); }
 
@@ -78,14 +90,28 @@
   struct Entry {
     ListedTarget Target_;
     bool Missing_ = false;
+    /// Revision at which this node learned of the entry's last change, which
+    /// is not before that change.
+    std::uint64_t ChangedAt_ = 0;
+
+    void change(ListedTarget Target, bool Missing, std::uint64_t Revision);
   };
 
+  /// The list becomes that of a revision.
+  void begin(std::uint64_t Revision, TimePoint Now);
+  template <class Predicate> bool removeIf(Predicate Remove);
   void index();
 
   std::map<std::string, Entry, std::less<>> Entries_;
+  /// Removed instances with the revision at which this node learned of it,
+  /// oldest first.
+  std::deque<std::pair<std::string, std::uint64_t>> Removals_;
+  /// Highest revision whose removals are forgotten.
+  std::uint64_t ForgottenUpTo_ = 0;
+  std::uint64_t Revision_ = 0;
   std::map<HostId, const ListedTarget *> ByNode_;
   bool Known_ = false;
-  bool Failed_ = false;
+  bool Lapsed_ = false;
   std::optional<TimePoint> HoldUntil_;
   TimePoint ReadAt_{};
 };
--- a/src/Node/ConfigSource.h
+++ b/src/Node/ConfigSource.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace marigold::node {
 
@@ -46,6 +47,15 @@
   readHosts(bool All,
             std::function<void(Result<membership::HostList>)> Done) = 0;
 
+  /// Time of the latest answer of the source, or of the latest sign that a
+  /// waiting call would be answered; nothing before the first one, or when the
+  /// implementation does not tell.
+  virtual std::optional<TimePoint> contactAt() const { return std::nullopt; }
+
+  /// Peers brought what the source would have told: the next call continues
+  /// from there.
+  virtual void learn(const KnownSource &) {}
+
   /// Gives up all calls.
   virtual void stop() = 0;
 };
--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -48,6 +48,10 @@
   Options.Wait_ = Settings.SourceWait_;
   Options.HostsInterval_ = Settings.HostsGap_;
   Options.WatchGap_ = Settings.SourceGap_;
+  Options.StaleAfter_ = Settings.SourceStaleAfter_;
+  Options.Takeover_ = Settings.SourceTakeover_ == "at-once"
+                          ? distribution::Takeover::AtOnce
+                          : distribution::Takeover::Spread;
   Options.MaxBackoff_ = Settings.SourceRetryLimit_;
   Options.FirstBackoff_ =
       std::min<Duration>(Options.FirstBackoff_, Options.MaxBackoff_);
@@ -130,6 +134,7 @@
   Out.Source_.insert(Out.Source_.end(), Actions.begin(), Actions.end());
   runPulls(Now, Out);
   runHostSync(Now, Out);
+  sendBeats(Now, Out);
 }
 
 void ControlCore::notePause(TimePoint Now, ControlEffects &Out) {
@@ -177,7 +182,7 @@
 void ControlCore::runPulls(TimePoint Now, ControlEffects &Out) {
   if (Baseline_)
     return;
-  if (auto Pull = Pulls_.tick(Now))
+  if (auto Pull = Pulls_.tick(Now, Directory_.revision()))
     sync(Pull->Peer_, std::move(Pull->Request_), SyncPurpose::Pull, Now, Out);
 }
 
@@ -201,6 +206,7 @@
                        SyncPurpose Purpose, TimePoint Now,
                        ControlEffects &Out) {
   Syncs_[Peer] = {Purpose, Now};
+  Request.SourceRevision_ = Directory_.revision();
   Out.Syncs_.push_back({Peer, std::move(Request)});
 }
 
@@ -217,6 +223,7 @@
   Store_.fill(Summary);
   Summary.SourceAge_ = Confirmation_.age(Now);
   Summary.HostsDigest_ = Table_.digest();
+  Summary.SourceRevision_ = sourceRevision();
   return Summary;
 }
 
@@ -302,7 +309,11 @@
 void ControlCore::learn(const HostId &Peer, std::string_view FailureDomain,
                         const NodeSummary &Summary, TimePoint Now,
                         ControlEffects &Out) {
-  Confirmation_.learn(Summary.SourceAge_, Now);
+  if (confirmsOwnState(Summary)) {
+    if (Summary.SourceAge_ < Settings_.SourceStaleAfter_)
+      noteOutage(Now);
+    Confirmation_.learn(Summary.SourceAge_, Now);
+  }
   if (!Bootstrap_.isDone()) {
     Bootstrap_.addPeer(Peer);
     Bootstrap_.onSummary(Peer, FailureDomain, Summary, Now);
@@ -311,7 +322,7 @@
   }
   if (Baseline_)
     return;
-  Pulls_.onSummary(Peer, Summary, Now);
+  Pulls_.onSummary(Peer, Summary, Now, Directory_.revision());
   runPulls(Now, Out);
   if (Summary.Refused_.Version_.Revision_ != 0 &&
       Store_.mergeRefusal(Summary.Refused_, Now)) {
@@ -390,6 +401,8 @@
   SyncReply Reply = Store_.answer(Request);
   Reply.Summary_ = summary(Now);
   membership::answerBuckets(Table_, Request, Reply);
+  if (sourceRevision() != 0)
+    Reply.Targets_ = Directory_.changesSince(Request.SourceRevision_);
   return Reply;
 }
 
@@ -414,6 +427,7 @@
     Outcome = Store_.offerReply(Reply, Now);
     noteOffer(Outcome, Version, Peer, Now, Out);
   }
+  mergeTargets(Peer, Reply, Now, Out);
   finishSync(Peer, Outcome, Now, Out);
   return Exchanges;
 }
@@ -492,6 +506,7 @@
 
 void ControlCore::onSourceKeys(std::uint64_t Index, TimePoint Now,
                                ControlEffects &Out) {
+  noteOutage(Now);
   Reader_.onKeys(Index, Now);
   auto Actions = Reader_.tick(Now);
   Out.Source_.insert(Out.Source_.end(), Actions.begin(), Actions.end());
@@ -499,7 +514,7 @@
 
 void ControlCore::onSourceText(const SourceText &Text, TimePoint Now,
                                ControlEffects &Out) {
-  Confirmation_.confirm(Now);
+  onSourceContact(Now, Now);
   if (Text.Refused_) {
     Refusal Refused{{0, Text.Index_},
                     static_cast<std::uint16_t>(Text.Refused_->Code_)};
@@ -518,17 +533,8 @@
     noteOffer(Store_.offerFromSource(Text.Snapshot_, Now),
               Text.Snapshot_->version(), std::nullopt, Now, Out);
   Reader_.onText(Text.Index_, Now);
-}
-
-void ControlCore::onSourceHosts(const membership::HostList &List, TimePoint Now,
-                                ControlEffects &Out) {
-  Reader_.onHosts(Now);
-  if (List.Targets_) {
-    Directory_.apply(*List.Targets_, Now);
-    ++HostsGeneration_;
-    updateOwnTarget(Out);
-  }
-  apply(Probes_.onListed(ListMerger_.apply(List, Table_), Now), Now, Out);
+  // The list may have waited for this configuration.
+  advertise(std::nullopt, Now, Out);
 }
 
 void ControlCore::onSourceFailure(distribution::SourceCall Call, TimePoint Now,
@@ -539,73 +545,9 @@
     runBootstrap(Now, Out);
     return;
   }
-  if (Call == distribution::SourceCall::Hosts)
-    Directory_.onSourceFailure();
   Reader_.onFailure(Call, Now);
 }
 
-void ControlCore::setOwnService(std::string Service, ControlEffects &Out) {
-  OwnService_ = std::move(Service);
-  updateOwnTarget(Out);
-}
-
-void ControlCore::updateOwnTarget(ControlEffects &Out) {
-  OwnTarget Present;
-  Present.Service_ = OwnService_;
-  Present.ConfiguredService_ = OwnService_;
-  if (const auto *Listed = Directory_.find(Probes_.ownRecord().Id_)) {
-    Present.Service_ = Listed->Service_;
-    Present.Instance_ = Listed->Instance_;
-    Present.Slots_ = Listed->Slots_;
-    Present.Leaving_ = Listed->Leaving_;
-  } else {
-    Present.Unlisted_ = Directory_.isKnown();
-  }
-  if (Present == OwnTarget_)
-    return;
-  OwnTarget_ = std::move(Present);
-  Out.OwnTargetChanged_ = true;
-}
-
-std::vector<HostRecord> ControlCore::targetsOf(std::string_view Service) const {
-  std::vector<HostRecord> Records;
-  if (!Directory_.isKnown()) {
-    for (const HostId &Id : Table_.hostsOfService(Service)) {
-      const auto *Entry = Table_.find(Id);
-      if (!Entry)
-        continue;
-      Records.push_back(Entry->Record_);
-      // A suspicion must not hide that the host said it is leaving.
-      if (Entry->StatedState_ == HostState::Draining)
-        Records.back().State_ = HostState::Draining;
-    }
-    return Records;
-  }
-  for (const membership::ListedTarget *Target : Directory_.ofService(Service)) {
-    const auto *Entry = Table_.find(Target->Node_);
-    HostRecord Record;
-    if (Entry)
-      Record = Entry->Record_;
-    Record.Id_ = Target->Node_;
-    Record.Service_ = Target->Service_;
-    Record.FailureDomain_ = Target->FailureDomain_;
-    // A fresh target is slow at first, as is a fresh node.
-    Record.Incarnation_ =
-        std::max(Record.Incarnation_,
-                 static_cast<std::uint64_t>(Target->StartedAt_.count()));
-    // The list is faster than the probes: a listed node of which nothing was
-    // heard yet takes calls, and the connection tells whether it is there.
-    if (!Entry || (!Entry->HeardAt_ && Record.State_ == HostState::Starting))
-      Record.State_ = HostState::Ready;
-    else if (Entry->StatedState_ == HostState::Draining)
-      Record.State_ = HostState::Draining;
-    if (Target->Leaving_)
-      Record.State_ = HostState::Draining;
-    Records.push_back(std::move(Record));
-  }
-  return Records;
-}
-
 void ControlCore::setOwnState(HostState State, TimePoint Now,
                               ControlEffects &Out) {
   if (Probes_.ownRecord().State_ == State)
--- a/src/Node/ControlCore.h
+++ b/src/Node/ControlCore.h
@@ -34,6 +34,16 @@
   bool Missing_ = false;
 };
 
+/// State of the source as a node knows it from its peers.
+struct KnownSource {
+  /// Revision up to which every change is known.
+  std::uint64_t Revision_ = 0;
+  /// Revision of the configuration in force.
+  std::uint64_t ConfigRevision_ = 0;
+  /// The list of targets.
+  std::vector<membership::ListedTarget> Targets_;
+};
+
 /// The decisions of the control plane of one node: membership, distribution
 /// of versions and reads of the source, joined. Holds no socket, clock or
 /// lock; each entry point takes the present time and adds to the effects.
@@ -85,6 +95,12 @@
   void onSourceHosts(const membership::HostList &List, TimePoint Now,
                      ControlEffects &Out);
 
+  /// The source answered at this time, or showed that it would.
+  void onSourceContact(TimePoint At, TimePoint Now);
+
+  /// State of the source as it is known from peers and from own reads.
+  KnownSource knownSource() const;
+
   /// A call to the source failed.
   void onSourceFailure(distribution::SourceCall Call, TimePoint Now,
                        ControlEffects &Out);
@@ -114,6 +130,9 @@
   /// The platform's list of targets.
   const membership::TargetDirectory &directory() const { return Directory_; }
 
+  /// Whether this node has the role of a reader of the source.
+  bool isReader(TimePoint Now) const { return Reader_.isReader(Now); }
+
   /// Whether a whole version is held and the start is complete.
   bool isBootstrapped() const { return Bootstrap_.isDone(); }
 
@@ -181,7 +200,24 @@
   void apply(const membership::OwnRecordChanged &Action, TimePoint Now,
              ControlEffects &Out);
 
+  // The list of targets (ControlTargets.cpp).
   void updateOwnTarget(ControlEffects &Out);
+  void onTargetsChanged(ControlEffects &Out);
+  /// Takes over what a peer's answer says of the list.
+  void mergeTargets(const HostId &Peer, const SyncReply &Reply, TimePoint Now,
+                    ControlEffects &Out);
+  /// Revision of the source up to which both list and configuration are known;
+  /// 0 while one of them is behind, or the list holds what may have lapsed.
+  std::uint64_t sourceRevision() const;
+  /// Whether a peer's confirmation by the source holds for what this node
+  /// knows: the peer knows nothing newer.
+  bool confirmsOwnState(const NodeSummary &Summary) const;
+  /// Called before a confirmation is taken in: the one before it may be from
+  /// before an outage of the source.
+  void noteOutage(TimePoint Now);
+  /// As a reader, tells the nodes of the own failure domain how young the
+  /// knowledge of the source is.
+  void sendBeats(TimePoint Now, ControlEffects &Out);
   void learn(const HostId &Peer, std::string_view FailureDomain,
              const NodeSummary &Summary, TimePoint Now, ControlEffects &Out);
   void noticeDirectly(const HostRecord &Record, TimePoint Now,
@@ -211,6 +247,8 @@
   membership::ProbeScheduler Probes_;
   membership::HostListMerger ListMerger_;
   membership::TargetDirectory Directory_;
+  /// Revision of the newest configuration that the list's revision covers.
+  std::uint64_t ListedConfig_ = 0;
   std::string OwnService_;
   OwnTarget OwnTarget_;
   membership::NoticePlanner Notices_;
@@ -228,6 +266,7 @@
   /// The text fetch under way was asked for by the bootstrap.
   bool BootstrapFetch_ = false;
   TimePoint NextHostSync_;
+  TimePoint NextBeat_;
   TimePoint NextFailureProbe_;
 };
 
--- a/src/Node/ControlEffects.h
+++ b/src/Node/ControlEffects.h
@@ -74,6 +74,9 @@
   std::vector<bool> BootstrapDone_;
   /// What the platform's list says of the target beside this node changed.
   bool OwnTargetChanged_ = false;
+  /// A peer brought a later revision of the list of targets; the source is to
+  /// continue from it.
+  bool SourceLearned_ = false;
   /// Length of a pause that was noticed.
   std::vector<Duration> Pauses_;
   /// The own record's incarnation had to be raised.
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -105,9 +105,12 @@
   std::vector<CrashNotice> Crashes;
   std::shared_ptr<const config::Snapshot> Adopted;
   OwnTarget Own;
+  KnownSource Known;
   {
     std::lock_guard Lock(Mutex_);
     Decide(Core_, now(), Effects);
+    if (Effects.SourceLearned_)
+      Known = Core_.knownSource();
     if (Effects.OwnTargetChanged_)
       Own = Core_.ownTarget();
     Crashes = Core_.takeCrashNotices();
@@ -118,6 +121,13 @@
   }
   if (Adopted)
     publish(std::move(Adopted));
+  // Before the effects, which may hold a call to the source.
+  if (Effects.SourceLearned_) {
+    logEvent(LogLevel::Info, "targets_learned",
+             {{"targets", std::to_string(Known.Targets_.size())},
+              {"revision", std::to_string(Known.Revision_)}});
+    Source_->learn(Known);
+  }
   perform(Effects);
   if (Effects.OwnTargetChanged_)
     OnOwnTarget_(Own);
@@ -312,7 +322,10 @@
       return;
     TimePoint TickTime = now();
     bool Trusted = true;
+    auto Contact = Source_->contactAt();
     decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+      if (Contact)
+        Core.onSourceContact(*Contact, Now);
       Core.tick(Now, Out);
       Trusted = Core.isTrusted(Now);
     });
--- /dev/null
+++ b/src/Node/ControlTargets.cpp
@@ -0,0 +1,170 @@
+// The platform's list of targets: how it comes from the source and from peers,
+// and what it says of the targets.
+
+#include "Node/ControlCore.h"
+
+#include "Support/Archive.h"
+
+#include <algorithm>
+
+namespace marigold::node {
+
+namespace {
+
+/// Time without any confirmation by the source that counts as an outage: longer
+/// than a takeover from readers that are gone takes, and shorter than the three
+/// reports that a target has to miss until its entry lapses.
+constexpr Duration OutageAge = std::chrono::milliseconds(2000);
+
+} // namespace
+
+void ControlCore::onSourceContact(TimePoint At, TimePoint Now) {
+  noteOutage(Now);
+  Confirmation_.confirm(At);
+}
+
+void ControlCore::noteOutage(TimePoint Now) {
+  auto Age = Confirmation_.age(Now);
+  if (Age >= OutageAge && Age < distribution::NeverConfirmed)
+    Directory_.onOutageEnded(Now);
+}
+
+void ControlCore::onSourceHosts(const membership::HostList &List, TimePoint Now,
+                                ControlEffects &Out) {
+  noteOutage(Now);
+  Reader_.onHosts(Now);
+  if (List.Targets_) {
+    if (List.Revision_ >= Directory_.revision())
+      ListedConfig_ = List.ConfigRevision_;
+    Directory_.apply(*List.Targets_, Now, List.Revision_);
+    onTargetsChanged(Out);
+  }
+  apply(Probes_.onListed(ListMerger_.apply(List, Table_), Now), Now, Out);
+  advertise(std::nullopt, Now, Out);
+}
+
+void ControlCore::onTargetsChanged(ControlEffects &Out) {
+  ++HostsGeneration_;
+  updateOwnTarget(Out);
+}
+
+std::uint64_t ControlCore::sourceRevision() const {
+  if (Store_.version().Revision_ < ListedConfig_ || Directory_.hasLapsed())
+    return 0;
+  return Directory_.revision();
+}
+
+bool ControlCore::confirmsOwnState(const NodeSummary &Summary) const {
+  if (Directory_.revision() == 0)
+    return true;
+  return Summary.SourceRevision_ != 0 &&
+         Summary.SourceRevision_ <= sourceRevision();
+}
+
+void ControlCore::mergeTargets(const HostId &Peer, const SyncReply &Reply,
+                               TimePoint Now, ControlEffects &Out) {
+  // The list of a node never runs ahead of its configuration: a takeover
+  // continues from the list's revision and would miss a configuration from
+  // before it.
+  if (Baseline_ || Store_.version() < Reply.Summary_.Version_ ||
+      !Directory_.merge(Reply.Targets_, Now))
+    return;
+  ListedConfig_ = 0;
+  onTargetsChanged(Out);
+  membership::HostList List;
+  List.ReadAt_ = Now;
+  for (const ListedTarget &Target : Reply.Targets_.Changed_) {
+    membership::ListedHost &Host = List.Hosts_.emplace_back();
+    Host.Record_.Id_ = Target.Node_;
+    Host.Record_.Service_ = Target.Service_;
+    Host.Record_.FailureDomain_ = Target.FailureDomain_;
+    Host.Record_.Region_ = Settings_.Region_;
+  }
+  apply(Probes_.onListed(ListMerger_.apply(List, Table_), Now), Now, Out);
+  Out.SourceLearned_ = true;
+  advertise(Peer, Now, Out);
+}
+
+void ControlCore::sendBeats(TimePoint Now, ControlEffects &Out) {
+  if (Baseline_ || Settings_.SourceBeat_ == Duration::zero() ||
+      Now < NextBeat_ || !Reader_.isReader(Now) || sourceRevision() == 0)
+    return;
+  NodeSummary Summary = summary(Now);
+  // Without contact there is nothing to tell, and its absence is the news.
+  if (Summary.SourceAge_ >= Settings_.SourceStaleAfter_)
+    return;
+  NextBeat_ = Now + Settings_.SourceBeat_;
+  std::string Data = encodeMessage(Advert{Probes_.ownRecord().Id_, Summary});
+  for (const HostId &To : Table_.hostsOfFailureDomain(Settings_.FailureDomain_))
+    if (To != Probes_.ownRecord().Id_)
+      Out.Datagrams_.push_back({To, ControlTraffic::Advert, Data});
+}
+
+KnownSource ControlCore::knownSource() const {
+  return {Directory_.revision(), Store_.version().Revision_,
+          Directory_.targets()};
+}
+
+void ControlCore::setOwnService(std::string Service, ControlEffects &Out) {
+  OwnService_ = std::move(Service);
+  updateOwnTarget(Out);
+}
+
+void ControlCore::updateOwnTarget(ControlEffects &Out) {
+  OwnTarget Present;
+  Present.Service_ = OwnService_;
+  Present.ConfiguredService_ = OwnService_;
+  if (const auto *Listed = Directory_.find(Probes_.ownRecord().Id_)) {
+    Present.Service_ = Listed->Service_;
+    Present.Instance_ = Listed->Instance_;
+    Present.Slots_ = Listed->Slots_;
+    Present.Leaving_ = Listed->Leaving_;
+  } else {
+    Present.Unlisted_ = Directory_.isKnown();
+  }
+  if (Present == OwnTarget_)
+    return;
+  OwnTarget_ = std::move(Present);
+  Out.OwnTargetChanged_ = true;
+}
+
+std::vector<HostRecord> ControlCore::targetsOf(std::string_view Service) const {
+  std::vector<HostRecord> Records;
+  if (!Directory_.isKnown()) {
+    for (const HostId &Id : Table_.hostsOfService(Service)) {
+      const auto *Entry = Table_.find(Id);
+      if (!Entry)
+        continue;
+      Records.push_back(Entry->Record_);
+      // A suspicion must not hide that the host said it is leaving.
+      if (Entry->StatedState_ == HostState::Draining)
+        Records.back().State_ = HostState::Draining;
+    }
+    return Records;
+  }
+  for (const membership::ListedTarget *Target : Directory_.ofService(Service)) {
+    const auto *Entry = Table_.find(Target->Node_);
+    HostRecord Record;
+    if (Entry)
+      Record = Entry->Record_;
+    Record.Id_ = Target->Node_;
+    Record.Service_ = Target->Service_;
+    Record.FailureDomain_ = Target->FailureDomain_;
+    // A fresh target is slow at first, as is a fresh node.
+    Record.Incarnation_ =
+        std::max(Record.Incarnation_,
+                 static_cast<std::uint64_t>(Target->StartedAt_.count()));
+    // The list is faster than the probes: a listed node of which nothing was
+    // heard yet takes calls, and the connection tells whether it is there.
+    if (!Entry || (!Entry->HeardAt_ && Record.State_ == HostState::Starting))
+      Record.State_ = HostState::Ready;
+    else if (Entry->StatedState_ == HostState::Draining)
+      Record.State_ = HostState::Draining;
+    if (Target->Leaving_)
+      Record.State_ = HostState::Draining;
+    Records.push_back(std::move(Record));
+  }
+  return Records;
+}
+
+} // namespace marigold::node
--- a/unittests/Control/ControlHarness.cpp
+++ b/unittests/Control/ControlHarness.cpp
@@ -39,6 +39,7 @@
   Added.Settings_.FailureDomain_ = FailureDomain;
   Added.Settings_.Seeds_ = {toAddress(idOf(1)), toAddress(idOf(2))};
   Added.Settings_.PeerAddress_ = toAddress(idOf(Number));
+  Configure_(Added.Settings_);
   restart(Number);
 }
 
@@ -47,6 +48,7 @@
   Restarted.Up_ = true;
   Restarted.Adopted_.clear();
   Watches_.erase(Number);
+  HostReads_.erase(Number);
   Restarted.Core_ = std::make_unique<ControlCore>(
       Restarted.Settings_, recordOf(Number, Restarted.Settings_.FailureDomain_),
       Rng_.next(), Now_);
@@ -63,6 +65,10 @@
       if (!Each.Up_)
         continue;
       ControlEffects Effects;
+      // A waiting call shows that the source would answer it.
+      if (sourceAnswers(Number) &&
+          (Watches_.contains(Number) || HostReads_.contains(Number)))
+        Each.Core_->onSourceContact(Now_, Now_);
       Each.Core_->tick(Now_, Effects);
       carryOut(Number, std::move(Effects));
     }
@@ -151,37 +157,75 @@
   ++Source_.Calls_;
   ControlCore &Core = *Nodes_.at(Number).Core_;
   ControlEffects Out;
+  bool Answers = sourceAnswers(Number);
   if (const auto *Watch = std::get_if<distribution::WatchKeys>(&Action)) {
-    if (Source_.Down_)
+    if (!Answers)
       Core.onSourceFailure(distribution::SourceCall::Keys, Now_, Out);
     else
       Watches_[Number].push_back({Watch->Index_, Now_ + Watch->Wait_});
   } else if (std::holds_alternative<distribution::FetchText>(Action)) {
     ++Source_.TextFetches_;
-    if (Source_.Down_)
+    if (!Answers)
       Core.onSourceFailure(distribution::SourceCall::Text, Now_, Out);
     else
       Core.onSourceText(readSourceText(Source_.Text_, Source_.Index_,
                                        Nodes_.at(Number).Settings_),
                         Now_, Out);
+  } else if (Answers && Source_.Targets_) {
+    HostReads_.try_emplace(Number, Core.knownSource().Revision_);
   } else {
     Core.onSourceFailure(distribution::SourceCall::Hosts, Now_, Out);
   }
   carryOut(Number, std::move(Out));
 }
 
+bool ControlHarness::sourceAnswers(unsigned Number) const {
+  return !Source_.Down_ && !Source_.CutOff_.contains(Number);
+}
+
+membership::HostList ControlHarness::listedHosts() const {
+  membership::HostList List;
+  List.ReadAt_ = Now_;
+  List.Targets_ = Source_.Targets_;
+  List.Revision_ = Source_.Revision_;
+  List.ConfigRevision_ = Source_.Index_;
+  return List;
+}
+
+void ControlHarness::answerHosts() {
+  auto Reads = std::exchange(HostReads_, {});
+  for (auto &[Number, Known] : Reads) {
+    if (!Nodes_.at(Number).Up_)
+      continue;
+    bool Answers = sourceAnswers(Number);
+    if (Answers && Known == Source_.Revision_) {
+      HostReads_.emplace(Number, Known);
+      continue;
+    }
+    ControlEffects Out;
+    if (Answers)
+      Nodes_.at(Number).Core_->onSourceHosts(listedHosts(), Now_, Out);
+    else
+      Nodes_.at(Number).Core_->onSourceFailure(distribution::SourceCall::Hosts,
+                                               Now_, Out);
+    carryOut(Number, std::move(Out));
+  }
+}
+
 void ControlHarness::deliver() {
+  answerHosts();
   auto Watches = std::exchange(Watches_, {});
   for (auto &[Number, Waiting] : Watches)
     for (auto &[Index, Until] : Waiting) {
       if (!Nodes_.at(Number).Up_)
         continue;
-      if (Index == Source_.Index_ && Now_ < Until && !Source_.Down_) {
+      bool Answers = sourceAnswers(Number);
+      if (Index == Source_.Index_ && Now_ < Until && Answers) {
         Watches_[Number].push_back({Index, Until});
         continue;
       }
       ControlEffects Out;
-      if (Source_.Down_)
+      if (!Answers)
         Nodes_.at(Number).Core_->onSourceFailure(distribution::SourceCall::Keys,
                                                  Now_, Out);
       else
--- a/unittests/Control/ControlHarness.h
+++ b/unittests/Control/ControlHarness.h
@@ -20,6 +20,12 @@
   bool Down_ = false;
   std::size_t Calls_ = 0;
   std::size_t TextFetches_ = 0;
+  /// The list of targets, its revision, and that of the configuration then;
+  /// nothing on a platform without one.
+  std::optional<std::vector<ListedTarget>> Targets_ = {};
+  std::uint64_t Revision_ = 0;
+  /// Nodes that the source does not answer.
+  std::set<unsigned> CutOff_ = {};
 };
 
 /// A text of mesh "test" with one service whose number of slots is given.
@@ -47,6 +53,9 @@
   /// seeds of all.
   void add(unsigned Number, const std::string &FailureDomain);
 
+  /// Settings of the nodes that are added from now on.
+  std::function<void(NodeSettings &)> Configure_ = [](NodeSettings &) {};
+
   /// Replaces a node by a new process that holds nothing.
   void restart(unsigned Number);
 
@@ -88,6 +97,9 @@
   void record(unsigned Number, const ControlEffects &Effects);
   void carryOut(unsigned Number, ControlEffects Effects);
   void callSource(unsigned Number, const distribution::SourceAction &Action);
+  bool sourceAnswers(unsigned Number) const;
+  membership::HostList listedHosts() const;
+  void answerHosts();
   void deliver();
   bool connected(unsigned Left, unsigned Right) const;
   void checkNoStepBack(unsigned Number);
@@ -98,6 +110,9 @@
   std::map<unsigned, Node> Nodes_;
   std::deque<Message> Queue_;
   std::map<unsigned, std::vector<std::pair<std::uint64_t, TimePoint>>> Watches_;
+  /// Reads of the list under way with the revision that each node had from the
+  /// one before.
+  std::map<unsigned, std::uint64_t> HostReads_;
   std::set<unsigned> Side_;
   FakeSource Source_;
   std::string Transcript_;
--- /dev/null
+++ b/unittests/Control/SharedListTest.cpp
@@ -0,0 +1,186 @@
+#include "ControlHarness.h"
+
+#include <doctest/doctest.h>
+
+namespace marigold::node {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Twelve nodes in two failure domains on a platform that lists targets, with
+/// the settings of deploy/settings.conf.
+struct SharedListFixture : ControlHarness {
+  SharedListFixture() : ControlHarness(7) {
+    Configure_ = [](NodeSettings &Settings) {
+      Settings.SourceTakeover_ = "at-once";
+      Settings.SourceStaleAfter_ = 1200ms;
+      Settings.SourceBeat_ = 300ms;
+      Settings.SourceGap_ = 50ms;
+      Settings.HostsGap_ = 50ms;
+      Settings.SourceRetryLimit_ = 500ms;
+      Settings.BootstrapGrace_ = 300ms;
+      Settings.RestartSpread_ = 0ms;
+    };
+    source().Targets_.emplace();
+    for (unsigned Number = 1; Number <= Count_; ++Number)
+      source().Targets_->push_back(target(Number));
+    source().Revision_ = 20;
+    source().Index_ = 10;
+    source().Text_ = textWithSlots(10);
+    for (unsigned Number = 1; Number <= Count_; ++Number)
+      add(Number, Number % 2 == 0 ? "even" : "odd");
+    run(20s);
+    REQUIRE(allHave(10));
+    REQUIRE(allKnow(20));
+  }
+
+  static ListedTarget target(unsigned Number) {
+    ListedTarget Target;
+    Target.Instance_ = "i-" + std::to_string(Number);
+    Target.Node_ = idOf(Number);
+    Target.Service_ = "desk";
+    Target.FailureDomain_ = Number % 2 == 0 ? "even" : "odd";
+    Target.Slots_ = 9;
+    return Target;
+  }
+
+  /// The target of a node leaves the list.
+  void removeTarget(unsigned Number) {
+    std::erase_if(*source().Targets_, [&](const ListedTarget &Target) {
+      return Target.Node_ == idOf(Number);
+    });
+    ++source().Revision_;
+  }
+
+  bool allKnow(std::uint64_t Revision) {
+    for (unsigned Number = 1; Number <= Count_; ++Number)
+      if (node(Number).Up_ &&
+          node(Number).Core_->knownSource().Revision_ != Revision)
+        return false;
+    return true;
+  }
+
+  std::set<unsigned> readers() {
+    std::set<unsigned> Found;
+    for (unsigned Number = 1; Number <= Count_; ++Number)
+      if (node(Number).Core_->isReader(now()))
+        Found.insert(Number);
+    return Found;
+  }
+
+  unsigned nonReader() {
+    std::set<unsigned> Readers = readers();
+    unsigned Number = 1;
+    while (Readers.contains(Number))
+      ++Number;
+    return Number;
+  }
+
+  static constexpr unsigned Count_ = 12;
+  /// Time within which a node has to know that a target leaves.
+  static constexpr Duration Bound_ = 2s;
+};
+
+} // namespace
+
+// Guards against calls of the source that grow with nodes and changes.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "change of the list reaches all by few calls of the source") {
+  REQUIRE(readers().size() == 4);
+  source().Calls_ = 0;
+  removeTarget(nonReader());
+  run(1s);
+  CHECK(allKnow(21));
+  CHECK(source().Calls_ <= 2 * readers().size());
+}
+
+// Guards against new work for a target whose own node does not hear that it
+// leaves.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "node learns within the bound that its target is gone") {
+  unsigned Number = nonReader();
+  REQUIRE_FALSE(node(Number).Core_->ownTarget().Unlisted_);
+  removeTarget(Number);
+  run(Bound_);
+  CHECK(node(Number).Core_->ownTarget().Unlisted_);
+}
+
+// Guards against a bound that is missed when all readers die before they have
+// read.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "nodes whose readers all die read within the bound") {
+  unsigned Number = nonReader();
+  for (unsigned Reader : readers())
+    setPaused(Reader, true);
+  removeTarget(Number);
+  source().Index_ = 11;
+  source().Text_ = textWithSlots(11);
+  run(Bound_);
+  CHECK(node(Number).Core_->ownTarget().Unlisted_);
+  CHECK(allKnow(21));
+  CHECK(allHave(11));
+}
+
+// Guards against confirmations by readers that the source no longer answers.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "nodes whose readers lost the source read within the bound") {
+  unsigned Number = nonReader();
+  source().CutOff_ = readers();
+  removeTarget(Number);
+  run(Bound_);
+  CHECK(node(Number).Core_->ownTarget().Unlisted_);
+}
+
+// Guards against a node that trusts peers which it hears but cannot ask.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "node without the source learns the list from peers") {
+  unsigned Number = nonReader();
+  source().CutOff_ = {Number};
+  removeTarget(Number);
+  run(Bound_);
+  CHECK(node(Number).Core_->ownTarget().Unlisted_);
+}
+
+// Guards against a node that takes the absence of its peers for the absence of
+// news.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "node without peers reads within the bound") {
+  unsigned Number = nonReader();
+  partition({Number});
+  removeTarget(Number);
+  run(Bound_);
+  CHECK(node(Number).Core_->ownTarget().Unlisted_);
+}
+
+// Guards against a removal that waits for the grace of an outage which is long
+// over: a node that read during it and not since keeps no memory of it.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "removal long after an outage counts at once") {
+  source().Down_ = true;
+  run(5s);
+  source().Down_ = false;
+  run(15s);
+  unsigned Number = nonReader();
+  removeTarget(Number);
+  run(Bound_);
+  CHECK(node(Number).Core_->ownTarget().Unlisted_);
+  CHECK(allKnow(21));
+}
+
+// Guards against an empty choice when entries lapse while the store is down.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "entry that lapsed in an outage is kept for a grace") {
+  unsigned Number = nonReader();
+  source().Down_ = true;
+  run(5s);
+  removeTarget(Number);
+  source().Down_ = false;
+  run(1500ms);
+  for (unsigned Each = 1; Each <= Count_; ++Each)
+    CHECK(node(Each).Core_->directory().find(idOf(Number)) != nullptr);
+  run(6s);
+  CHECK(node(Number).Core_->ownTarget().Unlisted_);
+  CHECK(allKnow(21));
+}
+
+} // namespace marigold::node
--- a/unittests/Distribution/SourceReaderTest.cpp
+++ b/unittests/Distribution/SourceReaderTest.cpp
@@ -295,4 +295,47 @@
   CHECK_FALSE(Reader.tick(Now_ + 10s).empty());
 }
 
+// Guards against a bound of two seconds that is missed because the readers are
+// gone and the others wait their turn.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "without young confirmation every node reads at once") {
+  Options_.Takeover_ = Takeover::AtOnce;
+  Options_.StaleAfter_ = 1200ms;
+  Confirmation_.confirm(Now_);
+  SourceReader Reader = make(nonReader());
+  Now_ += 1150ms;
+  CHECK(Reader.tick(Now_).empty());
+  Now_ += 50ms;
+  SourceActions Actions = Reader.tick(Now_);
+  CHECK(has<WatchKeys>(Actions));
+  CHECK(has<ReadHosts>(Actions));
+  CHECK(Reader.takeovers() == 1);
+}
+
+// Guards against a role that changes with each late confirmation.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "takeover at once ends after confirmations stay young") {
+  Options_.Takeover_ = Takeover::AtOnce;
+  Options_.StaleAfter_ = 1200ms;
+  Options_.HostsInterval_ = 50ms;
+  Confirmation_.confirm(Now_);
+  SourceReader Reader = make(nonReader());
+  Now_ += 1200ms;
+  REQUIRE(has<ReadHosts>(Reader.tick(Now_)));
+  TimePoint Taken = Now_;
+  std::optional<TimePoint> LastRead;
+  Reader.onHosts(Now_);
+  for (; Now_ < Taken + 10s; Now_ += 100ms) {
+    Confirmation_.learn(0ms, Now_);
+    if (!has<ReadHosts>(Reader.tick(Now_)))
+      continue;
+    LastRead = Now_;
+    Reader.onHosts(Now_);
+  }
+  REQUIRE(LastRead);
+  CHECK(*LastRead - Taken < Options_.TakeoverHold_);
+  CHECK(*LastRead - Taken > Options_.TakeoverHold_ - 500ms);
+  CHECK(Reader.takeovers() == 1);
+}
+
 } // namespace marigold::distribution
--- a/unittests/Membership/TargetDirectoryTest.cpp
+++ b/unittests/Membership/TargetDirectoryTest.cpp
@@ -52,8 +52,8 @@
     DirectoryFixture,
     "directory after an outage keeps missing targets for a grace") {
   Directory_.apply({target("a", 1), target("b", 2)}, Now_);
-  Directory_.onSourceFailure();
   Now_ += seconds(5);
+  Directory_.onOutageEnded(Now_);
   Directory_.apply({target("b", 2)}, Now_);
   CHECK(instances() == Names{"a", "b"});
   CHECK_FALSE(Directory_.expire(Now_ + TargetDirectory::LapseGrace_ / 2));
@@ -64,7 +64,7 @@
 TEST_CASE_FIXTURE(DirectoryFixture,
                   "directory after an outage keeps a target that came back") {
   Directory_.apply({target("a", 1)}, Now_);
-  Directory_.onSourceFailure();
+  Directory_.onOutageEnded(Now_);
   Directory_.apply({}, Now_);
   Now_ += seconds(1);
   Directory_.apply({target("a", 1)}, Now_);
@@ -78,7 +78,7 @@
   ListedTarget Leaving = target("a", 1);
   Leaving.Leaving_ = true;
   Directory_.apply({Leaving}, Now_);
-  Directory_.onSourceFailure();
+  Directory_.onOutageEnded(Now_);
   Directory_.apply({}, Now_);
   CHECK(instances().empty());
 }
@@ -107,4 +107,80 @@
   CHECK_FALSE(Directory_.find({1, 7400})->Leaving_);
 }
 
+// Guards against a peer that misses a change because both counted revisions
+// differently.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory merges the changes of a peer since its revision") {
+  Directory_.apply({target("a", 1), target("b", 2)}, Now_, 10);
+  TargetDirectory Peer;
+  REQUIRE(Peer.merge(Directory_.changesSince(0), Now_));
+  ListedTarget Leaving = target("a", 1, 1, 2);
+  Leaving.Leaving_ = true;
+  Directory_.apply({Leaving, target("c", 3)}, Now_, 14);
+  TargetChanges Changes = Directory_.changesSince(Peer.revision());
+  CHECK(Changes.Base_ == 10);
+  CHECK(Changes.Changed_.size() == 2);
+  REQUIRE(Peer.merge(Changes, Now_));
+  CHECK(Peer.targets() == Directory_.targets());
+  CHECK(Peer.revision() == 14);
+  CHECK(Directory_.changesSince(14).Revision_ == 0);
+}
+
+// Guards against a removed target that a late answer brings back.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory ignores changes that lead to no later revision") {
+  Directory_.apply({target("a", 1)}, Now_, 10);
+  TargetChanges Late = Directory_.changesSince(0);
+  Directory_.apply({}, Now_, 12);
+  CHECK_FALSE(Directory_.merge(Late, Now_));
+  Directory_.apply({target("a", 1)}, Now_, 10);
+  CHECK(instances().empty());
+}
+
+// Guards against a list that lacks the changes between two revisions.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory refuses changes that start after its revision") {
+  Directory_.apply({target("a", 1)}, Now_, 10);
+  TargetChanges Ahead;
+  Ahead.Base_ = 12;
+  Ahead.Revision_ = 14;
+  Ahead.Changed_ = {target("b", 2)};
+  CHECK_FALSE(Directory_.merge(Ahead, Now_));
+  CHECK(instances() == Names{"a"});
+  CHECK(Directory_.revision() == 10);
+}
+
+// Guards against a removed target that stays with a peer because its removal
+// is no longer remembered, or was never known.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory whose removals are forgotten sends the whole") {
+  Directory_.apply({target("a", 1)}, Now_, 10);
+  CHECK(Directory_.changesSince(9).Base_ == 0);
+  CHECK(Directory_.changesSince(10).Revision_ == 0);
+  TargetDirectory Peer;
+  REQUIRE(Peer.merge(Directory_.changesSince(0), Now_));
+  std::uint64_t Revision = 10;
+  for (std::size_t Round = 0; Round <= TargetDirectory::RemovalsKept_;
+       ++Round) {
+    Directory_.apply({target("x" + std::to_string(Round), 2)}, Now_,
+                     ++Revision);
+  }
+  TargetChanges Changes = Directory_.changesSince(Peer.revision());
+  CHECK(Changes.Base_ == 0);
+  REQUIRE(Peer.merge(Changes, Now_));
+  CHECK(Peer.targets() == Directory_.targets());
+}
+
+// Guards against a removal that one node's grace keeps from all others.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory with lapsed entries says so until their grace") {
+  Directory_.apply({target("a", 1)}, Now_, 10);
+  Directory_.onOutageEnded(Now_);
+  Directory_.apply({}, Now_, 11);
+  CHECK(Directory_.hasLapsed());
+  CHECK(Directory_.expire(Now_ + TargetDirectory::LapseGrace_));
+  CHECK_FALSE(Directory_.hasLapsed());
+  CHECK(Directory_.changesSince(10).Removed_ == Names{"a"});
+}
+
 } // namespace marigold::membership
