--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -527,6 +527,9 @@
     BootstrapFetch_ = false;
     Bootstrap_.onSourceText(Text.Snapshot_, Now);
     runBootstrap(Now, Out);
+    // The reader need not fetch the text again that the bootstrap took.
+    if (Text.Snapshot_ && Store_.version() == Text.Snapshot_->version())
+      Reader_.onText(Text.Index_, Now);
     return;
   }
   if (Text.Snapshot_)
--- a/unittests/Control/ControlHarness.cpp
+++ b/unittests/Control/ControlHarness.cpp
@@ -150,6 +150,8 @@
   }
   for (const auto &Action : Effects.Source_)
     callSource(Number, Action);
+  if (Effects.ReadAllHosts_ && Source_.Targets_)
+    callSource(Number, distribution::ReadHosts{});
 }
 
 void ControlHarness::callSource(unsigned Number,
@@ -187,6 +189,12 @@
   membership::HostList List;
   List.ReadAt_ = Now_;
   List.Targets_ = Source_.Targets_;
+  for (const ListedTarget &Target : *Source_.Targets_) {
+    membership::ListedHost &Host = List.Hosts_.emplace_back();
+    Host.Record_.Id_ = Target.Node_;
+    Host.Record_.Service_ = Target.Service_;
+    Host.Record_.FailureDomain_ = Target.FailureDomain_;
+  }
   List.Revision_ = Source_.Revision_;
   List.ConfigRevision_ = Source_.Index_;
   return List;
--- a/unittests/Control/SharedListTest.cpp
+++ b/unittests/Control/SharedListTest.cpp
@@ -20,6 +20,7 @@
       Settings.SourceRetryLimit_ = 500ms;
       Settings.BootstrapGrace_ = 300ms;
       Settings.RestartSpread_ = 0ms;
+      Settings.Seeds_.clear();
     };
     source().Targets_.emplace();
     for (unsigned Number = 1; Number <= Count_; ++Number)
@@ -83,6 +84,13 @@
 
 } // namespace
 
+// Guards against a configuration that a starting node reads and compiles twice
+// while callers wait for it.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "starting node fetches the configuration once") {
+  CHECK(source().TextFetches_ <= Count_);
+}
+
 // Guards against calls of the source that grow with nodes and changes.
 TEST_CASE_FIXTURE(SharedListFixture,
                   "change of the list reaches all by few calls of the source") {
