Log and count a node's role towards the source

A node that takes the source over believes that its readers are gone; the line source_role says so with the age of the confirmation that decided it, and source_takeovers_total counts it. targets_age_ms is now the age of the last confirmation that the list is complete: the time of its last change said nothing once nodes no longer read it themselves.

--- a/src/Distribution/SourceReader.cpp
+++ b/src/Distribution/SourceReader.cpp
@@ -22,6 +22,18 @@
 
 } // namespace
 
+std::string_view toText(SourceRole Role) {
+  switch (Role) {
+  case SourceRole::None:
+    return "none";
+  case SourceRole::Reader:
+    return "reader";
+  case SourceRole::Takeover:
+    return "takeover";
+  }
+  return "invalid";
+}
+
 SourceReader::SourceReader(const membership::HostTable &Table,
                            const VersionStore &Store,
                            SourceConfirmation &Confirmation, const HostId &Own,
@@ -41,7 +53,8 @@
   SourceActions Out;
   if (Now < RoleFrom_ || Now < NotBefore_)
     return Out;
-  bool Reader = actsAsReader(Now);
+  ActualRole_ = decideRole(Now);
+  bool Reader = ActualRole_ != SourceRole::None;
   watch(Reader, Now, Out);
   fetch(Now, Out);
   if (Reader)
@@ -49,17 +62,16 @@
   return Out;
 }
 
-/// Whether the node has the role of a reader, or takes it over at once.
-bool SourceReader::actsAsReader(TimePoint Now) {
+SourceRole SourceReader::decideRole(TimePoint Now) {
   if (isReader(Now))
-    return true;
+    return SourceRole::Reader;
   if (Options_.Takeover_ != Takeover::AtOnce)
-    return false;
+    return SourceRole::None;
   if (Confirmation_.age(Now) >= Options_.StaleAfter_) {
     Takeovers_ += Now >= ActsUntil_ ? 1 : 0;
     ActsUntil_ = Now + Options_.TakeoverHold_;
   }
-  return Now < ActsUntil_;
+  return Now < ActsUntil_ ? SourceRole::Takeover : SourceRole::None;
 }
 
 void SourceReader::watch(bool Reader, TimePoint Now, SourceActions &Out) {
--- a/src/Distribution/SourceReader.h
+++ b/src/Distribution/SourceReader.h
@@ -6,6 +6,7 @@
 #include "Support/Backoff.h"
 #include "Support/Random.h"
 
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -29,6 +30,12 @@
   AtOnce
 };
 
+/// Why a node reads the source, or that it does not.
+enum class SourceRole : std::uint8_t { None, Reader, Takeover };
+
+/// Name for logs.
+std::string_view toText(SourceRole Role);
+
 /// Start a blocking read of the key names (?keys). The answer goes to onKeys
 /// or onFailure.
 struct WatchKeys {
@@ -128,6 +135,9 @@
   /// Whether this node has the role of a reader now.
   bool isReader(TimePoint Now) const;
 
+  /// Role as of the last tick.
+  SourceRole role() const { return ActualRole_; }
+
   /// Times that the index of the source fell below one seen before.
   std::uint64_t indexFalls() const { return IndexFalls_; }
 
@@ -136,7 +146,7 @@
 
 private:
   bool isHandled(std::uint64_t Index) const;
-  bool actsAsReader(TimePoint Now);
+  SourceRole decideRole(TimePoint Now);
   bool takesOver(TimePoint Now);
   void planFetch(TimePoint Now);
   void fetch(TimePoint Now, SourceActions &Out);
@@ -160,6 +170,7 @@
   TimePoint NextTakeoverDraw_;
   /// End of the time for which a takeover at once lasts.
   TimePoint ActsUntil_;
+  SourceRole ActualRole_ = SourceRole::None;
   bool WatchRunning_ = false;
   bool FetchRunning_ = false;
   bool HostsRunning_ = false;
--- a/src/Membership/TargetDirectory.cpp
+++ b/src/Membership/TargetDirectory.cpp
@@ -24,19 +24,18 @@
   Missing_ = Missing;
 }
 
-void TargetDirectory::begin(std::uint64_t Revision, TimePoint Now) {
+void TargetDirectory::begin(std::uint64_t Revision) {
   // What was removed before the first list is not known.
   if (!std::exchange(Known_, true))
     ForgottenUpTo_ = Revision;
   Revision_ = Revision;
-  ReadAt_ = Now;
 }
 
 void TargetDirectory::apply(std::vector<ListedTarget> Listed, TimePoint Now,
                             std::uint64_t Revision) {
   if (Revision < Revision_)
     return;
-  begin(Revision, Now);
+  begin(Revision);
   bool Hold = HoldUntil_ && Now < *HoldUntil_;
   std::set<std::string, std::less<>> Named;
   for (ListedTarget &Target : Listed) {
@@ -74,11 +73,11 @@
   return Changes;
 }
 
-bool TargetDirectory::merge(const TargetChanges &Changes, TimePoint Now) {
+bool TargetDirectory::merge(const TargetChanges &Changes) {
   bool Whole = Changes.Base_ == 0;
   if (Changes.Revision_ <= Revision_ || (!Whole && Changes.Base_ > Revision_))
     return false;
-  begin(Changes.Revision_, Now);
+  begin(Changes.Revision_);
   std::set<std::string_view> Named;
   for (const ListedTarget &Target : Changes.Changed_) {
     Named.insert(Target.Instance_);
--- a/src/Membership/TargetDirectory.h
+++ b/src/Membership/TargetDirectory.h
@@ -48,7 +48,7 @@
 
   /// Takes over the changes that a peer sent. False if they lead to no later
   /// revision or start from one that is not reached yet; nothing changed then.
-  bool merge(const TargetChanges &Changes, TimePoint Now);
+  bool merge(const TargetChanges &Changes);
 
   /// The platform answers again after an outage: entries that the list lacks
   /// now may be back soon.
@@ -64,9 +64,6 @@
   /// Whether a list was ever read.
   bool isKnown() const { return Known_; }
 
-  /// Time of the last successful read.
-  TimePoint readAt() const { return ReadAt_; }
-
   /// Revision of the source up to which the list holds every change; 0 without
   /// a list or without revisions.
   std::uint64_t revision() const { return Revision_; }
@@ -98,7 +95,7 @@
   };
 
   /// The list becomes that of a revision.
-  void begin(std::uint64_t Revision, TimePoint Now);
+  void begin(std::uint64_t Revision);
   template <class Predicate> bool removeIf(Predicate Remove);
   void index();
 
@@ -113,7 +110,6 @@
   bool Known_ = false;
   bool Lapsed_ = false;
   std::optional<TimePoint> HoldUntil_;
-  TimePoint ReadAt_{};
 };
 
 } // namespace marigold::membership
--- a/src/Node/CallEnvironment.h
+++ b/src/Node/CallEnvironment.h
@@ -57,7 +57,8 @@
     return Own;
   }
 
-  /// Age of the platform's list of targets; zero without one.
+  /// Age of the last confirmation that the platform's list of targets as this
+  /// node knows it is complete; zero without a list.
   virtual Duration targetsAge(TimePoint) const { return Duration::zero(); }
 
   /// A connection to a peer could not be opened or was lost. A hint for the
--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -130,7 +130,11 @@
     ++HostsGeneration_;
     updateOwnTarget(Out);
   }
+  distribution::SourceRole Role = Reader_.role();
+  auto ConfirmationAge = Confirmation_.age(Now);
   auto Actions = Reader_.tick(Now);
+  if (Reader_.role() != Role)
+    Out.SourceRole_ = {Reader_.role(), ConfirmationAge};
   Out.Source_.insert(Out.Source_.end(), Actions.begin(), Actions.end());
   runPulls(Now, Out);
   runHostSync(Now, Out);
--- a/src/Node/ControlEffects.h
+++ b/src/Node/ControlEffects.h
@@ -5,6 +5,7 @@
 #include "Support/Result.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,6 +57,13 @@
   bool Own_ = false;
 };
 
+/// A change of the node's role towards the source, for log and metrics.
+struct SourceRoleEvent {
+  distribution::SourceRole Role_ = distribution::SourceRole::None;
+  /// Age of the last confirmation by the source, which decided it.
+  std::chrono::milliseconds ConfirmationAge_{};
+};
+
 /// What the control plane has to do after a decision, outside its lock.
 struct ControlEffects {
   std::vector<OutgoingDatagram> Datagrams_;
@@ -74,6 +82,7 @@
   std::vector<bool> BootstrapDone_;
   /// What the platform's list says of the target beside this node changed.
   bool OwnTargetChanged_ = false;
+  std::optional<SourceRoleEvent> SourceRole_;
   /// A peer brought a later revision of the list of targets; the source is to
   /// continue from it.
   bool SourceLearned_ = false;
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -190,6 +190,14 @@
     logEvent(SourceOnly ? LogLevel::Warning : LogLevel::Info, "bootstrap_done",
              {{"source_only", SourceOnly ? "true" : "false"}});
   }
+  if (const auto &Event = Effects.SourceRole_) {
+    if (Event->Role_ == distribution::SourceRole::Takeover)
+      Parts_.Metrics_.add(Metric::SourceTakeoversTotal);
+    logEvent(LogLevel::Info, "source_role",
+             {{"role", std::string(toText(Event->Role_))},
+              {"confirmation_age_ms",
+               std::to_string(Event->ConfirmationAge_.count())}});
+  }
   for (Duration Pause : Effects.Pauses_) {
     auto Length = std::chrono::duration_cast<std::chrono::milliseconds>(Pause);
     Parts_.Metrics_.add(Metric::PausesTotal);
@@ -398,7 +406,7 @@
 
 Duration ControlPlane::targetsAge(TimePoint Now) const {
   std::lock_guard Lock(Mutex_);
-  return Core_.directory().isKnown() ? Now - Core_.directory().readAt()
+  return Core_.directory().isKnown() ? Duration(Core_.sourceAge(Now))
                                      : Duration::zero();
 }
 
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -67,7 +67,7 @@
   // continues from the list's revision and would miss a configuration from
   // before it.
   if (Baseline_ || Store_.version() < Reply.Summary_.Version_ ||
-      !Directory_.merge(Reply.Targets_, Now))
+      !Directory_.merge(Reply.Targets_))
     return;
   ListedConfig_ = 0;
   onTargetsChanged(Out);
--- a/unittests/Membership/TargetDirectoryTest.cpp
+++ b/unittests/Membership/TargetDirectoryTest.cpp
@@ -113,14 +113,14 @@
                   "directory merges the changes of a peer since its revision") {
   Directory_.apply({target("a", 1), target("b", 2)}, Now_, 10);
   TargetDirectory Peer;
-  REQUIRE(Peer.merge(Directory_.changesSince(0), Now_));
+  REQUIRE(Peer.merge(Directory_.changesSince(0)));
   ListedTarget Leaving = target("a", 1, 1, 2);
   Leaving.Leaving_ = true;
   Directory_.apply({Leaving, target("c", 3)}, Now_, 14);
   TargetChanges Changes = Directory_.changesSince(Peer.revision());
   CHECK(Changes.Base_ == 10);
   CHECK(Changes.Changed_.size() == 2);
-  REQUIRE(Peer.merge(Changes, Now_));
+  REQUIRE(Peer.merge(Changes));
   CHECK(Peer.targets() == Directory_.targets());
   CHECK(Peer.revision() == 14);
   CHECK(Directory_.changesSince(14).Revision_ == 0);
@@ -132,7 +132,7 @@
   Directory_.apply({target("a", 1)}, Now_, 10);
   TargetChanges Late = Directory_.changesSince(0);
   Directory_.apply({}, Now_, 12);
-  CHECK_FALSE(Directory_.merge(Late, Now_));
+  CHECK_FALSE(Directory_.merge(Late));
   Directory_.apply({target("a", 1)}, Now_, 10);
   CHECK(instances().empty());
 }
@@ -145,7 +145,7 @@
   Ahead.Base_ = 12;
   Ahead.Revision_ = 14;
   Ahead.Changed_ = {target("b", 2)};
-  CHECK_FALSE(Directory_.merge(Ahead, Now_));
+  CHECK_FALSE(Directory_.merge(Ahead));
   CHECK(instances() == Names{"a"});
   CHECK(Directory_.revision() == 10);
 }
@@ -158,7 +158,7 @@
   CHECK(Directory_.changesSince(9).Base_ == 0);
   CHECK(Directory_.changesSince(10).Revision_ == 0);
   TargetDirectory Peer;
-  REQUIRE(Peer.merge(Directory_.changesSince(0), Now_));
+  REQUIRE(Peer.merge(Directory_.changesSince(0)));
   std::uint64_t Revision = 10;
   for (std::size_t Round = 0; Round <= TargetDirectory::RemovalsKept_;
        ++Round) {
@@ -167,7 +167,7 @@
   }
   TargetChanges Changes = Directory_.changesSince(Peer.revision());
   CHECK(Changes.Base_ == 0);
-  REQUIRE(Peer.merge(Changes, Now_));
+  REQUIRE(Peer.merge(Changes));
   CHECK(Peer.targets() == Directory_.targets());
 }
 
