A suspended host does not take what it knew for young

Change: the time since the host's start is compared with the monotonic clock at each tick; a suspension ages the confirmation, and one above pause-threshold is handled as a pause. Test: without the change a node with old knowledge stays trusted and does not read.

--- a/src/Distribution/SourceConfirmation.cpp
+++ b/src/Distribution/SourceConfirmation.cpp
@@ -17,6 +17,11 @@
     Last_ = Heard;
 }
 
+void SourceConfirmation::onSuspended(Duration Length) {
+  if (Last_)
+    *Last_ -= Length;
+}
+
 std::chrono::milliseconds SourceConfirmation::age(TimePoint Now) const {
   if (!Last_)
     return NeverConfirmed;
--- a/src/Distribution/SourceConfirmation.h
+++ b/src/Distribution/SourceConfirmation.h
@@ -26,6 +26,10 @@
   /// zero.
   void learn(std::chrono::milliseconds Age, TimePoint Now);
 
+  /// The host was suspended for Length, which the monotonic clock does not
+  /// count: the latest confirmation is older by it.
+  void onSuspended(Duration Length);
+
   /// Age of the latest confirmation, NeverConfirmed without one.
   std::chrono::milliseconds age(TimePoint Now) const;
 
--- a/src/Membership/PauseDetector.cpp
+++ b/src/Membership/PauseDetector.cpp
@@ -11,6 +11,14 @@
   return Gap;
 }
 
+std::optional<Duration> PauseDetector::onSuspended(Duration Length,
+                                                   TimePoint Now) {
+  if (Length <= Threshold_)
+    return std::nullopt;
+  ResumedAt_ = Now;
+  return Length;
+}
+
 void PauseDetector::onExchange(TimePoint SentAt) {
   if (ResumedAt_ && SentAt >= *ResumedAt_)
     ResumedAt_.reset();
--- a/src/Membership/PauseDetector.h
+++ b/src/Membership/PauseDetector.h
@@ -19,6 +19,10 @@
   /// is above the threshold; the node then distrusts its view.
   std::optional<Duration> tick(TimePoint Now);
 
+  /// The host was suspended for Length, which the monotonic clock does not
+  /// count. Returns the length when it is above the threshold.
+  std::optional<Duration> onSuspended(Duration Length, TimePoint Now);
+
   /// Notes a completed exchange: an answer to a probe or SyncRequest that was
   /// sent at SentAt. Answers to requests from before the pause do not count.
   void onExchange(TimePoint SentAt);
--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -114,7 +114,8 @@
 }
 
 void ControlCore::tick(TimePoint Now, ControlEffects &Out) {
-  notePause(Now, Out);
+  if (auto Gap = Pause_.tick(Now))
+    onPaused(*Gap, Now, Out);
   apply(Probes_.tick(Now), Now, Out);
   std::vector<HostId> Overdue;
   for (const auto &[Peer, Pending] : Syncs_)
@@ -141,11 +142,16 @@
   sendBeats(Now, Out);
 }
 
-void ControlCore::notePause(TimePoint Now, ControlEffects &Out) {
-  auto Gap = Pause_.tick(Now);
-  if (!Gap)
-    return;
-  Out.Pauses_.push_back(*Gap);
+void ControlCore::onSuspended(Duration Length, TimePoint Now,
+                              ControlEffects &Out) {
+  Confirmation_.onSuspended(Length);
+  if (auto Gap = Pause_.onSuspended(Length, Now))
+    onPaused(*Gap, Now, Out);
+}
+
+void ControlCore::onPaused(Duration Length, TimePoint Now,
+                           ControlEffects &Out) {
+  Out.Pauses_.push_back(Length);
   FreshProbes_.clear();
   for (std::size_t Asked = 0; Asked < PeersAskedAfterPause; ++Asked) {
     auto Peer = randomPeer();
--- a/src/Node/ControlCore.h
+++ b/src/Node/ControlCore.h
@@ -56,6 +56,10 @@
   /// Everything that is due. To be called about every 50 ms.
   void tick(TimePoint Now, ControlEffects &Out);
 
+  /// The host was suspended for Length, which the monotonic clock does not
+  /// count: what is known is older than it seems.
+  void onSuspended(Duration Length, TimePoint Now, ControlEffects &Out);
+
   /// A datagram arrived. Fails with MessageMalformed or MessageUnexpected;
   /// nothing changed then.
   Result<void> onDatagram(std::string_view Data, TimePoint Now,
@@ -222,7 +226,8 @@
              const NodeSummary &Summary, TimePoint Now, ControlEffects &Out);
   void noticeDirectly(const HostRecord &Record, TimePoint Now,
                       ControlEffects &Out);
-  void notePause(TimePoint Now, ControlEffects &Out);
+  /// The process did not run for Length: asks peers for their present state.
+  void onPaused(Duration Length, TimePoint Now, ControlEffects &Out);
   void runBootstrap(TimePoint Now, ControlEffects &Out);
   void runPulls(TimePoint Now, ControlEffects &Out);
   void runHostSync(TimePoint Now, ControlEffects &Out);
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -4,12 +4,15 @@
 #include "Support/Addresses.h"
 #include "Support/Archive.h"
 #include "Support/Log.h"
+#include "Support/SuspendedTime.h"
 
 namespace marigold::node {
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
 constexpr Duration GaugeInterval = std::chrono::seconds(1);
+/// Shortest suspension that is told from the imprecision of two clock reads.
+constexpr Duration ShortestSuspension = std::chrono::milliseconds(100);
 /// IPv4 and UDP headers.
 constexpr std::size_t DatagramOverhead = 28;
 /// Length and type of a frame, and the IP and TCP headers of its segment.
@@ -52,6 +55,7 @@
                            std::uint64_t Seed, TimePoint Now,
                            const ConfigSourceFactory &MakeSource)
     : Parts_(Parts), Core_(Parts.Settings_, Own, Seed, Now), LastTick_(Now),
+      Suspended_(suspendedTime()),
       Socket_(Parts.Io_,
               [this](const Address &From, std::string_view Data) {
                 onDatagram(From, Data);
@@ -331,7 +335,12 @@
     TimePoint TickTime = now();
     bool Trusted = true;
     auto Contact = Source_->contactAt();
+    Duration Suspension = suspendedTime() - Suspended_;
+    if (Suspension >= ShortestSuspension)
+      Suspended_ += Suspension;
     decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
+      if (Suspension >= ShortestSuspension)
+        Core.onSuspended(Suspension, Now, Out);
       if (Contact)
         Core.onSourceContact(*Contact, Now);
       Core.tick(Now, Out);
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -124,6 +124,8 @@
   std::atomic<bool> Bootstrapped_{false};
   std::atomic<bool> Trusted_{true};
   std::atomic<TimePoint> LastTick_;
+  /// Time for which the host was suspended as of the last tick.
+  Duration Suspended_;
   std::atomic<bool> Stopped_{false};
 
   transport::DatagramSocket Socket_;
--- a/unittests/Control/SharedListTest.cpp
+++ b/unittests/Control/SharedListTest.cpp
@@ -160,6 +160,25 @@
   CHECK(node(Number).Core_->ownTarget().Unlisted_);
 }
 
+// Guards against a node that takes what it knew before a suspension for young:
+// the monotonic clock stood still meanwhile.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "node that was suspended does not trust what it knew") {
+  unsigned Number = nonReader();
+  partition({Number});
+  ControlEffects Out;
+  node(Number).Core_->onSuspended(5s, now(), Out);
+  CHECK(Out.Pauses_ == std::vector<Duration>{5s});
+  CHECK_FALSE(node(Number).Core_->isTrusted(now()));
+  removeTarget(Number);
+  run(150ms);
+  // It has read at once. The source may have had an outage meanwhile, so that
+  // the entry has its grace.
+  CHECK(node(Number).Core_->directory().hasLapsed());
+  run(membership::TargetDirectory::LapseGrace_);
+  CHECK(node(Number).Core_->ownTarget().Unlisted_);
+}
+
 // Guards against a removal that waits for the grace of an outage which is long
 // over: a node that read during it and not since keeps no memory of it.
 TEST_CASE_FIXTURE(SharedListFixture,
