--- a/src/Distribution/ReaderRanking.cpp
+++ b/src/Distribution/ReaderRanking.cpp
@@ -43,6 +43,13 @@
       Hosts.push_back(Id);
   }
   sortByHash(Hosts, ReaderSeed);
+  // A large version takes a slow link from the calls of its host, and reaches
+  // the others later.
+  std::stable_sort(Hosts.begin(), Hosts.end(),
+                   [&](const HostId &Left, const HostId &Right) {
+                     return Table.find(Left)->Record_.LinkMbps_ >
+                            Table.find(Right)->Record_.LinkMbps_;
+                   });
   if (Hosts.size() > Count)
     Hosts.resize(Count);
   return Hosts;
--- a/src/Distribution/ReaderRanking.h
+++ b/src/Distribution/ReaderRanking.h
@@ -7,7 +7,8 @@
 namespace marigold::distribution {
 
 /// Hosts of a failure domain that read the source: those that are starting,
-/// ready or draining, ranked by rendezvous hash, at most Count. Hosts that are
+/// ready or draining, those with the fastest links first and equal ones ranked
+/// by rendezvous hash, at most Count. Hosts that are
 /// only listed do not read; Own counts in any state, so that the first node of
 /// a domain reads.
 std::vector<HostId> readersOf(const membership::HostTable &Table,
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -48,6 +48,7 @@
   Own.Region_ = Settings.Region_;
   Own.CallerPort_ = Settings.CallerPort_;
   Own.AdminPort_ = Settings.AdminPort_;
+  Own.LinkMbps_ = static_cast<std::uint32_t>(Settings.LinkMbps_);
   return Own;
 }
 
--- a/unittests/Distribution/SourceReaderTest.cpp
+++ b/unittests/Distribution/SourceReaderTest.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace marigold::distribution {
 
 using namespace std::chrono_literals;
@@ -295,6 +297,23 @@
   CHECK_FALSE(Reader.tick(Now_ + 10s).empty());
 }
 
+// Guards against a large version that takes a slow link from the calls of its
+// host and reaches the others late.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "hosts with the fastest links of a domain read") {
+  std::vector<HostId> Fast = {nonReader(), {30, 7400}};
+  for (const HostId &Id : Table_.hostsOfFailureDomain("quito")) {
+    HostRecord Record = Table_.find(Id)->Record_;
+    ++Record.Sequence_;
+    Record.LinkMbps_ = Id == Fast[0] || Id == Fast[1] ? 100 : 9;
+    Table_.apply(Record, Now_);
+  }
+  std::vector<HostId> Readers = readersOf(Table_, "quito", {2, 7400}, 2);
+  std::sort(Readers.begin(), Readers.end());
+  std::sort(Fast.begin(), Fast.end());
+  CHECK(Readers == Fast);
+}
+
 // Guards against a bound of two seconds that is missed because the readers are
 // gone and the others wait their turn.
 TEST_CASE_FIXTURE(SourceReaderFixture,
