--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -139,7 +139,7 @@
   Out.Source_.insert(Out.Source_.end(), Actions.begin(), Actions.end());
   runPulls(Now, Out);
   runHostSync(Now, Out);
-  sendBeats(Now, Out);
+  sendHeartbeats(Now, Out);
 }
 
 void ControlCore::onSuspended(Duration Length, TimePoint Now,
--- a/src/Node/ControlCore.h
+++ b/src/Node/ControlCore.h
@@ -221,7 +221,7 @@
   void noteOutage(TimePoint Now);
   /// As a reader, tells the nodes of the own failure domain how young the
   /// knowledge of the source is.
-  void sendBeats(TimePoint Now, ControlEffects &Out);
+  void sendHeartbeats(TimePoint Now, ControlEffects &Out);
   void learn(const HostId &Peer, std::string_view FailureDomain,
              const NodeSummary &Summary, TimePoint Now, ControlEffects &Out);
   void noticeDirectly(const HostRecord &Record, TimePoint Now,
@@ -271,7 +271,7 @@
   /// The text fetch under way was asked for by the bootstrap.
   bool BootstrapFetch_ = false;
   TimePoint NextHostSync_;
-  TimePoint NextBeat_;
+  TimePoint NextHeartbeat_;
   TimePoint NextFailureProbe_;
 };
 
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -85,15 +85,15 @@
   advertise(Peer, Now, Out);
 }
 
-void ControlCore::sendBeats(TimePoint Now, ControlEffects &Out) {
-  if (Baseline_ || Settings_.SourceBeat_ == Duration::zero() ||
-      Now < NextBeat_ || !Reader_.isReader(Now) || sourceRevision() == 0)
+void ControlCore::sendHeartbeats(TimePoint Now, ControlEffects &Out) {
+  if (Baseline_ || Settings_.SourceHeartbeat_ == Duration::zero() ||
+      Now < NextHeartbeat_ || !Reader_.isReader(Now) || sourceRevision() == 0)
     return;
   NodeSummary Summary = summary(Now);
   // Without contact there is nothing to tell, and its absence is the news.
   if (Summary.SourceAge_ >= Settings_.SourceStaleAfter_)
     return;
-  NextBeat_ = Now + Settings_.SourceBeat_;
+  NextHeartbeat_ = Now + Settings_.SourceHeartbeat_;
   std::string Data = encodeMessage(Advert{Probes_.ownRecord().Id_, Summary});
   for (const HostId &To : Table_.hostsOfFailureDomain(Settings_.FailureDomain_))
     if (To != Probes_.ownRecord().Id_)
--- a/unittests/Control/SharedListTest.cpp
+++ b/unittests/Control/SharedListTest.cpp
@@ -14,7 +14,7 @@
     Configure_ = [](NodeSettings &Settings) {
       Settings.SourceTakeover_ = "at-once";
       Settings.SourceStaleAfter_ = 1200ms;
-      Settings.SourceBeat_ = 300ms;
+      Settings.SourceHeartbeat_ = 300ms;
       Settings.SourceGap_ = 50ms;
       Settings.HostsGap_ = 50ms;
       Settings.SourceRetryLimit_ = 500ms;
