A drain between two reads of the store reaches every node; odd entries are left out

Ruled out: the grace for missing entries, the cause that was suspected.

Change: lists carry the latest revision of which they may contain a change; changes are dated by it, and a list is passed on only when both are the same. A node resumes its watch without the entries that it keeps for the grace.

--- a/programs/marigold-fuzz/main.cpp
+++ b/programs/marigold-fuzz/main.cpp
@@ -2,6 +2,7 @@
 #include "Mesh/RandomFaults.h"
 #include "Schema/generated/Settings.h"
 #include "Support/SettingsParser.h"
+#include "TextFuzz.h"
 
 #include <cstdio>
 
@@ -37,6 +38,7 @@
   const FuzzSettings &Settings = Parsed->Settings_;
   std::size_t Failures =
       fuzz::fuzzDecoders(Settings.Seed_, Settings.DecodeRuns_) +
+      fuzz::fuzzTexts(Settings.Seed_, Settings.TextRuns_) +
       fuzz::fuzzOrders(Settings);
   return Failures == 0 ? 0 : 1;
 }
--- a/src/Membership/HostListMerger.h
+++ b/src/Membership/HostListMerger.h
@@ -30,6 +30,9 @@
   /// Revision of the source up to which Targets_ includes every change; 0 on
   /// platforms without revisions.
   std::uint64_t Revision_ = 0;
+  /// Latest revision of which Targets_ may contain a change. After Revision_ if
+  /// the list was assembled from reads at several revisions.
+  std::uint64_t ContentRevision_ = 0;
   /// Revision of the newest configuration at or below Revision_.
   std::uint64_t ConfigRevision_ = 0;
 };
--- a/src/Membership/TargetDirectory.cpp
+++ b/src/Membership/TargetDirectory.cpp
@@ -1,5 +1,6 @@
 #include "Membership/TargetDirectory.h"
 
+#include <algorithm>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -24,30 +25,33 @@
   Missing_ = Missing;
 }
 
-void TargetDirectory::advanceTo(std::uint64_t Revision) {
+void TargetDirectory::advanceTo(std::uint64_t Revision,
+                                std::uint64_t ContentRevision) {
+  Revision_ = Revision;
+  ContentRevision_ = std::max({ContentRevision_, Revision, ContentRevision});
   // Removals before the first list are not known.
   if (!std::exchange(Known_, true))
-    ForgottenUpTo_ = Revision;
-  Revision_ = Revision;
+    ForgottenUpTo_ = ContentRevision_;
 }
 
 void TargetDirectory::apply(std::vector<ListedTarget> Listed, TimePoint Now,
-                            std::uint64_t Revision) {
+                            std::uint64_t Revision,
+                            std::uint64_t ContentRevision) {
   if (Revision < Revision_)
     return;
-  advanceTo(Revision);
+  advanceTo(Revision, ContentRevision);
   bool KeepMissing = KeepMissingUntil_ && Now < *KeepMissingUntil_;
   std::set<std::string, std::less<>> ListedInstances;
   for (ListedTarget &Target : Listed) {
     ListedInstances.insert(Target.Instance_);
-    auto [Position, Inserted] =
-        Entries_.try_emplace(Target.Instance_, Entry{Target, false, Revision});
+    auto [Position, Inserted] = Entries_.try_emplace(
+        Target.Instance_, Entry{Target, false, ContentRevision_});
     if (!Inserted)
-      Position->second.change(std::move(Target), false, Revision);
+      Position->second.change(std::move(Target), false, ContentRevision_);
   }
   for (auto &[Instance, Held] : Entries_)
     if (!ListedInstances.contains(Instance))
-      Held.change(Held.Target_, true, Revision);
+      Held.change(Held.Target_, true, ContentRevision_);
   // A leaving target that is no longer listed has left, so it gets no grace
   // period.
   removeIf([&](const Entry &Held) {
@@ -78,14 +82,14 @@
   bool Whole = Changes.Base_ == 0;
   if (Changes.Revision_ <= Revision_ || (!Whole && Changes.Base_ > Revision_))
     return false;
-  advanceTo(Changes.Revision_);
+  advanceTo(Changes.Revision_, Changes.Revision_);
   std::set<std::string_view> ListedInstances;
   for (const ListedTarget &Target : Changes.Changed_) {
     ListedInstances.insert(Target.Instance_);
-    auto [Position, Inserted] =
-        Entries_.try_emplace(Target.Instance_, Entry{Target, false, Revision_});
+    auto [Position, Inserted] = Entries_.try_emplace(
+        Target.Instance_, Entry{Target, false, ContentRevision_});
     if (!Inserted)
-      Position->second.change(Target, false, Revision_);
+      Position->second.change(Target, false, ContentRevision_);
   }
   std::set<std::string_view> Removed(Changes.Removed_.begin(),
                                      Changes.Removed_.end());
@@ -116,6 +120,14 @@
   return Targets;
 }
 
+std::vector<ListedTarget> TargetDirectory::listedTargets() const {
+  std::vector<ListedTarget> Targets;
+  for (const auto &[Instance, Held] : Entries_)
+    if (!Held.Missing_)
+      Targets.push_back(Held.Target_);
+  return Targets;
+}
+
 /// Removes the entries that match the predicate. Returns whether there were
 /// any.
 template <class Predicate> bool TargetDirectory::removeIf(Predicate Remove) {
@@ -123,7 +135,7 @@
   std::erase_if(Entries_, [&](const auto &Pair) {
     if (!Remove(Pair.second))
       return false;
-    Removals_.emplace_back(Pair.first, Revision_);
+    Removals_.emplace_back(Pair.first, ContentRevision_);
     return true;
   });
   for (; Removals_.size() > RemovalsKept_; Removals_.pop_front())
--- a/src/Membership/TargetDirectory.h
+++ b/src/Membership/TargetDirectory.h
@@ -22,8 +22,10 @@
 /// missing from the list; missing entries are then kept for a grace period.
 ///
 /// Nodes exchange the list as changes between two revisions of the source. A
-/// node's list therefore always matches exactly one revision and is never
-/// replaced by an earlier one.
+/// list is never replaced by one of an earlier revision. It is passed on only
+/// while it matches exactly one revision: a list that also contains some later
+/// changes would date them too early, and a peer that asks for what follows
+/// that revision would never receive them.
 class TargetDirectory {
 public:
   /// Time after the end of an outage for which missing entries are kept. Live
@@ -39,9 +41,10 @@
   /// Replaces the list by one that includes every change up to Revision; 0 on
   /// platforms without revisions. Ignores a list of an earlier revision than
   /// the current one, and entries older than the current entry of the same
-  /// instance.
+  /// instance. The list may also contain changes up to ContentRevision, if that
+  /// is later.
   void apply(std::vector<ListedTarget> Listed, TimePoint Now,
-             std::uint64_t Revision = 0);
+             std::uint64_t Revision = 0, std::uint64_t ContentRevision = 0);
 
   /// Returns the changes after a revision, or the whole list if the removals
   /// since then are no longer remembered. The result has Revision_ 0 if there
@@ -63,6 +66,9 @@
   /// delay removals at others.
   bool hasMissingEntries() const { return HasMissingEntries_; }
 
+  /// Returns whether the list may contain changes after revision().
+  bool isAheadOfRevision() const { return ContentRevision_ > Revision_; }
+
   /// Removes missing entries whose grace period has ended. Returns whether
   /// there were any.
   bool expire(TimePoint Now);
@@ -74,8 +80,13 @@
   /// without a list or without revisions.
   std::uint64_t revision() const { return Revision_; }
 
+  /// Returns all targets, including the entries that are missing from the list
+  /// and kept for the grace period.
   std::vector<ListedTarget> targets() const;
 
+  /// Returns the targets that the platform lists.
+  std::vector<ListedTarget> listedTargets() const;
+
   /// Number of targets.
   std::size_t size() const { return ByNode_.size(); }
 
@@ -99,8 +110,8 @@
     void change(ListedTarget Target, bool Missing, std::uint64_t Revision);
   };
 
-  /// Sets the revision of the list.
-  void advanceTo(std::uint64_t Revision);
+  /// Sets the revision of the list and of its newest possible content.
+  void advanceTo(std::uint64_t Revision, std::uint64_t ContentRevision);
   template <class Predicate> bool removeIf(Predicate Remove);
   void rebuildIndex();
 
@@ -111,6 +122,9 @@
   /// Highest revision whose removals are no longer remembered.
   std::uint64_t ForgottenUpTo_ = 0;
   std::uint64_t Revision_ = 0;
+  /// Latest revision whose changes the list may contain; never before
+  /// Revision_.
+  std::uint64_t ContentRevision_ = 0;
   std::map<HostId, const ListedTarget *> ByNode_;
   bool Known_ = false;
   bool HasMissingEntries_ = false;
--- a/src/Node/ControlCore.h
+++ b/src/Node/ControlCore.h
@@ -221,7 +221,7 @@
                     ControlEffects &Out);
   /// Source revision up to which both the target list and the configuration
   /// are known. 0 while the configuration is older than the list, or the list
-  /// keeps entries that the source no longer has.
+  /// keeps entries that the source no longer has or contains later changes.
   std::uint64_t sourceRevision() const;
   /// Whether a peer's confirmation by the source also applies to this node's
   /// data. That is the case only if the peer has nothing newer.
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -36,7 +36,8 @@
   if (List.Targets_) {
     if (List.Revision_ >= Directory_.revision())
       ListConfigRevision_ = List.ConfigRevision_;
-    Directory_.apply(*List.Targets_, Now, List.Revision_);
+    Directory_.apply(*List.Targets_, Now, List.Revision_,
+                     List.ContentRevision_);
     onTargetsChanged(Out);
   }
   apply(Probes_.onListed(ListMerger_.apply(List, Table_), Now), Now, Out);
@@ -50,7 +51,7 @@
 
 std::uint64_t ControlCore::sourceRevision() const {
   if (Store_.version().Revision_ < ListConfigRevision_ ||
-      Directory_.hasMissingEntries())
+      Directory_.hasMissingEntries() || Directory_.isAheadOfRevision())
     return 0;
   return Directory_.revision();
 }
@@ -104,7 +105,7 @@
 
 KnownSourceState ControlCore::knownSourceState() const {
   return {Directory_.revision(), Store_.version().Revision_,
-          Directory_.targets()};
+          Directory_.listedTargets()};
 }
 
 void ControlCore::setOwnService(std::string Service, ControlEffects &Out) {
--- a/src/Node/SourceClient.cpp
+++ b/src/Node/SourceClient.cpp
@@ -2,10 +2,10 @@
 
 #include "Config/TextParser.h"
 #include "Support/Addresses.h"
+#include "Support/JsonText.h"
+#include "Support/Log.h"
 
 #include <boost/asio/post.hpp>
-#include <nlohmann/json.hpp>
-
 #include <mutex>
 
 namespace marigold::node {
@@ -50,6 +50,8 @@
 
 Result<std::uint16_t> metaPort(const nlohmann::json &Meta, const char *Key) {
   BOOST_OUTCOME_TRY(auto Port, parseNumber(metaText(Meta, Key), 65535));
+  if (Port == 0)
+    return fail(ErrorCode::SourceMalformed, std::string(Key) + " is 0");
   return static_cast<std::uint16_t>(Port);
 }
 
@@ -62,6 +64,7 @@
   membership::ListedHost Host;
   BOOST_OUTCOME_TRY(auto Peer, parseAddress(Node["Address"].get<std::string>() +
                                             ":" + metaText(Meta, "peer_port")));
+  BOOST_OUTCOME_TRY(metaPort(Meta, "peer_port"));
   BOOST_OUTCOME_TRY(auto CallerPort, metaPort(Meta, "caller_port"));
   BOOST_OUTCOME_TRY(auto AdminPort, metaPort(Meta, "admin_port"));
   Host.Record_.Id_ = toHostId(Peer);
@@ -76,16 +79,24 @@
 
 } // namespace
 
-Result<std::vector<membership::ListedHost>>
-parseHostList(std::string_view Json) {
-  auto Root = nlohmann::json::parse(Json, nullptr, false);
+Result<membership::HostList> parseHostList(std::string_view Json,
+                                           TimePoint ReadAt) {
+  BOOST_OUTCOME_TRY(auto Root, parseJson(Json));
   if (!Root.is_array())
     return fail(ErrorCode::SourceMalformed, "host list is not a JSON array");
-  std::vector<membership::ListedHost> Hosts;
-  for (const auto &Node : Root)
-    if (auto Host = parseListedHost(Node))
-      Hosts.push_back(std::move(Host.value()));
-  return Hosts;
+  membership::HostList List;
+  List.ReadAt_ = ReadAt;
+  for (const auto &Node : Root) {
+    auto Host = parseListedHost(Node);
+    if (Host) {
+      List.Hosts_.push_back(std::move(Host.value()));
+      continue;
+    }
+    ++List.Unusable_;
+    logEvent(LogLevel::Warning, "host_entry_unusable",
+             {{"reason", Host.error().Detail_}});
+  }
+  return List;
 }
 
 SourceText readSourceText(std::string_view Text, std::uint64_t Index,
@@ -232,18 +243,14 @@
         // The source builds the list at the end of the wait, so the list is as
         // old as the response, not as the request.
         TimePoint ReadAt = std::chrono::steady_clock::now();
-        auto Hosts = Answer ? parseHostList(Answer.value().second)
-                            : Result<std::vector<membership::ListedHost>>(
-                                  std::move(Answer.error()));
+        auto List =
+            Answer ? parseHostList(Answer.value().second, ReadAt)
+                   : Result<membership::HostList>(std::move(Answer.error()));
         if (!All) {
           std::lock_guard Lock(State->Mutex_);
-          State->HostsIndex_ = Hosts ? Answer.value().first : 0;
-        }
-        if (!Hosts) {
-          Done(std::move(Hosts.error()));
-          return;
+          State->HostsIndex_ = List ? Answer.value().first : 0;
         }
-        Done(membership::HostList{std::move(Hosts.value()), ReadAt});
+        Done(std::move(List));
       });
 }
 
--- a/src/Node/SourceClient.h
+++ b/src/Node/SourceClient.h
@@ -44,10 +44,11 @@
   const std::shared_ptr<transport::HttpGetCalls> Calls_;
 };
 
-/// Parses the response body of /v1/catalog/nodes. Omits hosts with an invalid
-/// address or port. Fails with SourceMalformed if Json is not a JSON array.
-Result<std::vector<membership::ListedHost>>
-parseHostList(std::string_view Json);
+/// Parses the response body of /v1/catalog/nodes, read at ReadAt. Logs, counts
+/// and omits hosts with an invalid address or port. Fails with SourceMalformed
+/// if Json is not a JSON array or is nested too deeply.
+Result<membership::HostList> parseHostList(std::string_view Json,
+                                           TimePoint ReadAt);
 
 /// Parses and validates a configuration text. Refuses a text of another mesh
 /// with SnapshotInvalid.
--- a/unittests/Control/SharedListTest.cpp
+++ b/unittests/Control/SharedListTest.cpp
@@ -214,4 +214,30 @@
   CHECK(allKnowRevision(21));
 }
 
+// Guards against a target that has left being used again by a node that starts
+// while the source is down and asks a peer that never learned of the removal.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "restarted node does not list a target that has left") {
+  unsigned Stale = nonReader();
+  unsigned Removed = Stale + 1;
+  while (readers().contains(Removed))
+    ++Removed;
+  unsigned Restarted = Removed + 1;
+  while (readers().contains(Restarted))
+    ++Restarted;
+  REQUIRE(Restarted <= Count_);
+  partition({Stale});
+  source().UnreachableNodes_ = {Stale};
+  removeTarget(Removed);
+  run(PropagationLimit_);
+  REQUIRE(node(Stale).Core_->directory().find(idOf(Removed)) != nullptr);
+  source().Down_ = true;
+  partition({});
+  restart(Restarted);
+  run(PropagationLimit_);
+  CHECK(node(Restarted).Core_->directory().isKnown());
+  CHECK(node(Restarted).Core_->directory().find(idOf(Removed)) == nullptr);
+  CHECK(node(Stale).Core_->directory().find(idOf(Removed)) == nullptr);
+}
+
 } // namespace marigold::node
--- a/unittests/Membership/TargetDirectoryTest.cpp
+++ b/unittests/Membership/TargetDirectoryTest.cpp
@@ -189,4 +189,49 @@
   CHECK(Directory_.changesSince(10).Removed_ == Names{"a"});
 }
 
+// Guards against a drain that a peer never learns of. A reader that assembles
+// its list from two reads may hold a change that is later than the revision of
+// the list; if it dates the change by that revision, it later tells a peer with
+// the same revision that nothing has changed.
+TEST_CASE_FIXTURE(
+    DirectoryFixture,
+    "directory with content after its revision passes on every change") {
+  Directory_.apply({target("a", 1), target("b", 2)}, Now_, 10, 10);
+  TargetDirectory Peer;
+  REQUIRE(Peer.merge(Directory_.changesSince(0)));
+  ListedTarget Leaving = target("a", 1, 1, 2);
+  Leaving.Leaving_ = true;
+  Directory_.apply({Leaving}, Now_, 10, 12);
+  CHECK(Directory_.isAheadOfRevision());
+  Directory_.apply({Leaving}, Now_, 12, 12);
+  CHECK_FALSE(Directory_.isAheadOfRevision());
+  REQUIRE(Peer.merge(Directory_.changesSince(Peer.revision())));
+  CHECK(Peer.targets() == Directory_.targets());
+}
+
+// Guards against peers that receive an incomplete list from a node whose first
+// list had no revision yet.
+TEST_CASE_FIXTURE(
+    DirectoryFixture,
+    "directory whose first list has no revision sends the whole list") {
+  TargetDirectory Peer;
+  Peer.apply({target("a", 1), target("b", 2)}, Now_, 10, 10);
+  Directory_.apply({target("b", 2), target("c", 3)}, Now_, 0, 12);
+  Directory_.apply({target("b", 2), target("c", 3)}, Now_, 12, 12);
+  REQUIRE(Peer.merge(Directory_.changesSince(10)));
+  CHECK(Peer.targets() == Directory_.targets());
+}
+
+// Guards against an entry that is kept for ever because the reader resumes from
+// a state in which the platform seems to list it.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory does not count a missing entry as listed") {
+  Directory_.apply({target("a", 1), target("b", 2)}, Now_, 10, 10);
+  Directory_.onOutageEnded(Now_);
+  Directory_.apply({target("b", 2)}, Now_, 11, 11);
+  CHECK(Directory_.targets().size() == 2);
+  REQUIRE(Directory_.listedTargets().size() == 1);
+  CHECK(Directory_.listedTargets()[0].Instance_ == "b");
+}
+
 } // namespace marigold::membership
