Returning callers by their true objective; takeovers that fail back off

A request that is expected to miss its objective waits behind the others and is refused as soon as one of those waits.

Change: such a node waits 0.5 to 4 s, and its role ends 1 s after the last stale confirmation instead of 3 s.

--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -1,6 +1,7 @@
 #include "Admission/AdmissionControl.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace marigold::admission {
 namespace {
@@ -22,6 +23,10 @@
   Settings_.Slots_ = std::max(Settings_.Slots_, 1U);
 }
 
+bool AdmissionControl::Waiting::precedes(const Waiting &Other) const {
+  return std::tie(Late_, Objective_) < std::tie(Other.Late_, Other.Objective_);
+}
+
 Submission AdmissionControl::submit(const CallTicket &Ticket, TimePoint Now) {
   if (Draining_ || Leaving_)
     return {Admission::Refuse, ErrorCode::Draining, std::nullopt};
@@ -35,7 +40,8 @@
     Running_.emplace(Ticket.Id_, Ticket.Kind_);
     return {Admission::Run, {}, std::nullopt};
   }
-  if (waitIsTooLong(Ticket, Now))
+  Forecast Expected = forecast(Ticket, Now);
+  if (waitIsTooLong(Ticket, Expected, Now))
     return {Admission::Refuse, ErrorCode::HopelessWait, std::nullopt};
   Submission Result{Admission::Queue, {}, std::nullopt};
   if (QueuedCount_ >= Settings_.Queue_) {
@@ -45,12 +51,14 @@
               std::nullopt};
   }
   WaitingQueue &Waiters = Queues_[indexOf(Ticket.Priority_)];
+  Waiting Entry{Ticket.Id_, Ticket.Deadline_, Ticket.Objective_, Ticket.Kind_,
+                Expected.Late_};
   Waiters.insert(
-      std::upper_bound(Waiters.begin(), Waiters.end(), Ticket.Objective_,
-                       [](TimePoint Objective, const Waiting &Entry) {
-                         return Objective < Entry.Objective_;
+      std::upper_bound(Waiters.begin(), Waiters.end(), Entry,
+                       [](const Waiting &Left, const Waiting &Right) {
+                         return Left.precedes(Right);
                        }),
-      {Ticket.Id_, Ticket.Deadline_, Ticket.Objective_, Ticket.Kind_});
+      Entry);
   ++QueuedCount_;
   return Result;
 }
@@ -184,36 +192,49 @@
   return Now + RunTimes_.mean(Ticket.Kind_) + Ticket.Transfer_ > Limit;
 }
 
-/// Whether the answer of a request that is queued now would miss its objective
-/// or deadline. Requests of higher priorities and those of the same priority
-/// with an earlier or equal objective run before it.
-bool AdmissionControl::waitIsTooLong(const CallTicket &Ticket,
-                                     TimePoint Now) const {
+/// Estimates when a request that is queued now would be answered. Requests of
+/// higher priorities and those of the same priority with an earlier or equal
+/// objective run before it.
+AdmissionControl::Forecast AdmissionControl::forecast(const CallTicket &Ticket,
+                                                      TimePoint Now) const {
   std::size_t Own = indexOf(Ticket.Priority_);
-  std::size_t Before = 1;
+  Forecast Result;
   // The next slot becomes free after the mean run time divided by the limit.
   Duration Work = RunTimes_.mean();
   auto Count = [&](const Waiting &Entry) {
-    ++Before;
+    ++Result.Before_;
     Work += RunTimes_.mean(Entry.Kind_);
   };
   for (std::size_t Index = Own + 1; Index < PriorityCount; ++Index)
     std::ranges::for_each(Queues_[Index], Count);
   for (const Waiting &Entry : Queues_[Own])
-    if (Entry.Objective_ <= Ticket.Objective_)
+    if (!Entry.Late_ && Entry.Objective_ <= Ticket.Objective_)
       Count(Entry);
-  Duration Wait = Work / limit() + Ticket.Transfer_;
+  Result.Start_ = Now + Work / limit() + Ticket.Transfer_;
+  Result.Late_ =
+      Ticket.Objective_ != TimePoint::max() &&
+      Result.Start_ + RunTimes_.mean(Ticket.Kind_) * ExpectedRunPercent / 100 >
+          Ticket.Objective_;
+  return Result;
+}
+
+/// Whether a request must not be queued because of the expected time of its
+/// answer.
+bool AdmissionControl::waitIsTooLong(const CallTicket &Ticket,
+                                     const Forecast &Expected,
+                                     TimePoint Now) const {
   Duration ShortRun = RunTimes_.lowerQuartile(Ticket.Kind_);
-  if (Now + Wait + ShortRun > Ticket.Deadline_)
+  if (Expected.Start_ + ShortRun > Ticket.Deadline_)
+    return true;
+  if (!Expected.Late_)
+    return false;
+  const WaitingQueue &Waiters = Queues_[indexOf(Ticket.Priority_)];
+  if (!Waiters.empty() && !Waiters.front().Late_)
     return true;
-  bool CanMeetObjective = Ticket.Objective_ != TimePoint::max() &&
-                          Now + ShortRun <= Ticket.Objective_;
   // The short queue keeps the slots in use even if runs alone exceed the
   // objective.
-  if (!CanMeetObjective || Before <= limit() / ShortQueueDivisor)
-    return false;
-  return Now + Wait + RunTimes_.mean(Ticket.Kind_) * ExpectedRunPercent / 100 >
-         Ticket.Objective_;
+  bool CanMeetObjective = Now + ShortRun <= Ticket.Objective_;
+  return CanMeetObjective && Expected.Before_ > limit() / ShortQueueDivisor;
 }
 
 /// Removes the last queued request of the lowest priority below the ticket's.
@@ -226,7 +247,8 @@
     if (!Queues_[Index].empty())
       return displaceLast(Queues_[Index], ErrorCode::Shed);
   WaitingQueue &Waiters = Queues_[Own];
-  if (Waiters.empty() || Waiters.back().Objective_ <= Ticket.Objective_)
+  if (Waiters.empty() ||
+      (!Waiters.back().Late_ && Waiters.back().Objective_ <= Ticket.Objective_))
     return std::nullopt;
   return displaceLast(Waiters, ErrorCode::QueueFull);
 }
@@ -254,8 +276,7 @@
   auto IsLate = [&](const Waiting &Entry) {
     return Entry.Objective_ < Now + RunTimes_.lowerQuartile(Entry.Kind_);
   };
-  if (Waiters.empty() || Waiters.back().Objective_ == TimePoint::max() ||
-      IsLate(Waiters.back()))
+  if (std::ranges::all_of(Waiters, IsLate))
     return;
   std::erase_if(Waiters, [&](const Waiting &Entry) {
     if (!IsLate(Entry))
--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -104,6 +104,11 @@
 /// - Lasting overload: a request is queued only if its answer is expected to
 ///   meet the objective, and is refused at once otherwise. A longer queue would
 ///   only make every answer late.
+/// - Refused callers that return while the overload lasts: a request that can
+/// no
+///   longer meet its objective waits behind those that can, and is refused as
+///   soon as one of those waits. Run in its turn, it would take the slot from a
+///   request that could be answered in time, for as many answers in all.
 /// - Runs that become slower while requests wait: queued requests that can no
 ///   longer meet their objective are refused in favour of those that can.
 /// - Answers beyond the bandwidth of the host's link: a request whose answer
@@ -181,12 +186,28 @@
     TimePoint Deadline_;
     TimePoint Objective_;
     std::uint32_t Kind_;
+    /// Was not expected to meet its objective when it was queued.
+    bool Late_;
+
+    /// Whether this request runs before another one that arrived later.
+    bool precedes(const Waiting &Other) const;
+  };
+  /// Expectation for a request that is about to be queued.
+  struct Forecast {
+    /// Number of requests, including this one, that run up to it.
+    std::size_t Before_ = 1;
+    TimePoint Start_;
+    /// Whether the answer is expected after the objective.
+    bool Late_ = false;
   };
-  /// Requests of one priority, ordered by objective and then by arrival.
+  /// Requests of one priority, ordered by objective and then by arrival. Those
+  /// that were expected to be late when they were queued come last.
   using WaitingQueue = std::deque<Waiting>;
 
   bool transferIsTooLong(const CallTicket &Ticket, TimePoint Now) const;
-  bool waitIsTooLong(const CallTicket &Ticket, TimePoint Now) const;
+  Forecast forecast(const CallTicket &Ticket, TimePoint Now) const;
+  bool waitIsTooLong(const CallTicket &Ticket, const Forecast &Expected,
+                     TimePoint Now) const;
   std::optional<RefusedTicket> displaceFor(const CallTicket &Ticket);
   RefusedTicket displaceLast(WaitingQueue &Waiters, ErrorCode Reason);
   ErrorCode queueFullReason(Priority Value) const;
--- a/src/Distribution/SourceReader.cpp
+++ b/src/Distribution/SourceReader.cpp
@@ -46,6 +46,8 @@
       FailureDomain_(std::move(FailureDomain)), Options_(Options), Rng_(Rng),
       Backoff_(Options.FirstBackoff_, Options.MaxBackoff_),
       HostsBackoff_(Options.FirstBackoff_, Options.MaxBackoff_),
+      TakeoverBackoff_(Options.FirstTakeoverBackoff_,
+                       Options.MaxTakeoverBackoff_),
       RoleStartsAt_(Now + Options.RestartSpread_ / 2 +
                     Rng_.upTo(Options.RestartSpread_ / 2)),
       NotBefore_(Now), NextWatch_(Now), NextHosts_(Now),
@@ -115,6 +117,7 @@
 void SourceReader::onKeys(std::uint64_t Index, TimePoint Now) {
   WatchRunning_ = false;
   Backoff_.reset();
+  TakeoverBackoff_.reset();
   Confirmation_.confirm(Now);
   std::uint64_t Highest = std::max(SeenIndex_, Store_.version().Revision_);
   if (Index < Highest && Index != SeenIndex_) {
@@ -133,6 +136,7 @@
   FetchRunning_ = false;
   FetchAt_.reset();
   Backoff_.reset();
+  TakeoverBackoff_.reset();
   Confirmation_.confirm(Now);
   IndexTrusted_ = Index >= Store_.version().Revision_;
   // A watch answered during the fetch requires a fetch of its own, unless the
@@ -147,6 +151,7 @@
       Now + Options_.HostsInterval_ * (100 - HostsJitterPercent) / 100 +
       Rng_.upTo(Options_.HostsInterval_ * 2 * HostsJitterPercent / 100);
   HostsBackoff_.reset();
+  TakeoverBackoff_.reset();
   Confirmation_.confirm(Now);
 }
 
@@ -155,13 +160,21 @@
     WatchRunning_ = false;
   if (Call == SourceCall::Text)
     FetchRunning_ = false;
+  if (Call == SourceCall::Hosts)
+    HostsRunning_ = false;
+  if (Role_ == SourceRole::Takeover && Options_.Takeover_ == Takeover::AtOnce) {
+    // One delay for all calls: those that fail together are made together
+    // again.
+    if (Now >= NotBefore_)
+      NotBefore_ = Now + TakeoverBackoff_.nextLong(Rng_);
+    return;
+  }
   if (Call != SourceCall::Hosts) {
     NotBefore_ = Now + Backoff_.next(Rng_);
     return;
   }
   // Reads of the host list use their own backoff: if only the catalogue fails,
   // this must not delay configuration versions.
-  HostsRunning_ = false;
   NextHosts_ = Now + HostsBackoff_.next(Rng_);
 }
 
--- a/src/Distribution/SourceReader.h
+++ b/src/Distribution/SourceReader.h
@@ -88,7 +88,9 @@
   Takeover Takeover_ = Takeover::Spread;
   /// Minimum time for which a node acts as a reader after a takeover in mode
   /// AtOnce, so that its role does not change with each late confirmation.
-  Duration TakeoverHold_ = std::chrono::seconds(3);
+  /// Short, because after an outage every node has taken over, and each reads
+  /// every change until its role ends.
+  Duration TakeoverHold_ = std::chrono::seconds(1);
   /// In mode Spread, the time in which the expected number of takeover reads in
   /// the fleet doubles.
   Duration TakeoverDoubling_ = std::chrono::seconds(5);
@@ -102,6 +104,12 @@
   /// First and highest upper bound of the random delay after a failed call.
   Duration FirstBackoff_ = std::chrono::milliseconds(500);
   Duration MaxBackoff_ = std::chrono::seconds(30);
+  /// The same for a node that has taken over in mode AtOnce. If its calls fail,
+  /// the source is probably down for all, and hundreds of nodes that all retry
+  /// as often as readers would add to its load. The readers go on and confirm
+  /// their answer to the other nodes, which then need no call of their own.
+  Duration FirstTakeoverBackoff_ = std::chrono::seconds(1);
+  Duration MaxTakeoverBackoff_ = std::chrono::seconds(4);
 };
 
 /// Decides when this node reads the source. It performs no I/O: the caller
@@ -163,6 +171,7 @@
   Random Rng_;
   Backoff Backoff_;
   Backoff HostsBackoff_;
+  Backoff TakeoverBackoff_;
 
   TimePoint RoleStartsAt_;
   TimePoint NotBefore_;
--- a/src/Support/Backoff.h
+++ b/src/Support/Backoff.h
@@ -21,6 +21,13 @@
     return Delay;
   }
 
+  /// Like next, but at least half of the ceiling, for attempts whose cost
+  /// matters more than the time of the first success.
+  Duration nextLong(Random &Rng) {
+    Duration Floor = Ceiling_ / 2;
+    return Floor + next(Rng) / 2;
+  }
+
   /// Resets the ceiling to its first value. Call after a successful attempt.
   void reset() { Ceiling_ = First_; }
 
--- a/unittests/Admission/LoadPatternTest.cpp
+++ b/unittests/Admission/LoadPatternTest.cpp
@@ -45,6 +45,38 @@
   CHECK(Lookups.LongestWaitToRefusal_ <= Lookup_.Objective_);
 }
 
+// Guards against running requests of callers that return, whose objective has
+// passed, in place of requests that could be answered in time. Returning
+// callers must not change how many answers are in time under a lasting
+// overload.
+TEST_CASE_FIXTURE(LoadPatternFixture,
+                  "callers that return leave new requests in time") {
+  for (double Rate : {84.0, 112.0, 168.0}) {
+    CAPTURE(Rate);
+    Lookup_.Rate_ = Rate;
+    Lookup_.Returns_ = false;
+    LoadResult Alone = simulate({Lookup_})[0];
+    Lookup_.Returns_ = true;
+    LoadResult Lookups = simulate({Lookup_})[0];
+    CHECK(Lookups.Timely_ >= Alone.Timely_ * 95 / 100);
+    CHECK(Lookups.Late_ <= Lookups.Timely_ / 10);
+  }
+}
+
+// Guards against refusing callers that return after a burst, when slots are
+// free again: a late answer is better than none then.
+TEST_CASE_FIXTURE(LoadPatternFixture,
+                  "callers that return after a burst are served late") {
+  Lookup_.Returns_ = true;
+  Lookup_.Rate_ = 40;
+  LoadSimulation Simulation(Settings_, testSeed(11));
+  Simulation.Slowdown_ = [](Duration Since) {
+    return Since > seconds(20) && Since < seconds(21) ? 4.0 : 1.0;
+  };
+  LoadResult Lookups = Simulation.run({Lookup_}, seconds(60))[0];
+  CHECK(Lookups.Refused_ <= Lookups.Offered_ * 2 / 100);
+}
+
 // Guards against short calls that wait behind long requests. They are made by
 // requests that already run, whose work is wasted if such a call is refused.
 TEST_CASE_FIXTURE(LoadPatternFixture,
--- a/unittests/Admission/LoadSimulation.cpp
+++ b/unittests/Admission/LoadSimulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace marigold::admission {
 
@@ -80,7 +81,16 @@
 }
 
 void LoadSimulation::refuse(std::uint64_t Id, TimePoint Now) {
-  const Request &Value = Requests_.at(Id);
+  Request &Value = Requests_.at(Id);
+  if (Kinds_[Value.Kind_].Returns_ && !std::exchange(Value.Returned_, true)) {
+    Duration After = Control_.retryAfter();
+    // Callers spread their return over the named time and half as much again.
+    TimePoint Again = Now + After + Rng_.upTo(After / 2 + Duration(1));
+    if (Again < Value.Deadline_) {
+      Events_.push({Again, Id, false});
+      return;
+    }
+  }
   LoadResult &Result = Results_[Value.Kind_];
   ++Result.Refused_;
   Result.LongestWaitToRefusal_ =
--- a/unittests/Admission/LoadSimulation.h
+++ b/unittests/Admission/LoadSimulation.h
@@ -19,9 +19,12 @@
   Duration Objective_{};
   Duration Limit_{};
   Priority Priority_ = Priority::Normal;
+  /// Whether a caller whose request is refused sends it once more at the time
+  /// that the node names.
+  bool Returns_ = false;
 };
 
-/// Counts of the requests of one kind by their result.
+/// Counts of the requests of one kind by their final result.
 struct LoadResult {
   int Offered_ = 0;
   int Timely_ = 0;
@@ -53,6 +56,7 @@
     TimePoint Deadline_;
     Duration Work_;
     TimePoint Started_{};
+    bool Returned_ = false;
   };
   struct Event {
     TimePoint At_;
--- a/unittests/Distribution/SourceReaderTest.cpp
+++ b/unittests/Distribution/SourceReaderTest.cpp
@@ -365,4 +365,66 @@
   CHECK(Reader.takeovers() == 1);
 }
 
+// Guards against an outage of the source in which every node has taken over and
+// retries as often as a reader: hundreds of nodes then make most of their calls
+// while no call can succeed. Replays an outage of eight seconds.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "failed takeover backs off and ends at the first answer") {
+  Options_.Takeover_ = Takeover::AtOnce;
+  Options_.StaleAfter_ = 1200ms;
+  Options_.MaxBackoff_ = 500ms;
+  Options_.HostsInterval_ = 50ms;
+  Options_.WatchGap_ = 300ms;
+  Confirmation_.confirm(Now_);
+  SourceReader Taker = make(nonReader());
+  SourceReader Reader = make(firstReader());
+  auto callsInOutage = [this](SourceReader &Node) {
+    std::size_t Calls = 0;
+    for (TimePoint End = Now_ + 8s; Now_ < End; Now_ += 50ms)
+      for (const SourceAction &Each : Node.tick(Now_)) {
+        ++Calls;
+        Node.onFailure(std::holds_alternative<ReadHosts>(Each)
+                           ? SourceCall::Hosts
+                           : SourceCall::Keys,
+                       Now_);
+      }
+    return Calls;
+  };
+  TimePoint Start = Now_;
+  std::size_t TakerCalls = callsInOutage(Taker);
+  Now_ = Start;
+  std::size_t ReaderCalls = callsInOutage(Reader);
+  // Rounds of two calls at 1.2 s and then at least 0.5, 1, 2 and 2 s later.
+  CHECK(TakerCalls >= 4);
+  CHECK(TakerCalls <= 10);
+  CHECK(ReaderCalls >= 4 * TakerCalls);
+  // A confirmation by a reader ends the takeover without a call.
+  for (TimePoint End = Now_ + 5s; Now_ < End; Now_ += 50ms) {
+    Confirmation_.mergeAge(0ms, Now_);
+    if (Now_ >= End - 5s + Options_.TakeoverHold_)
+      CHECK(Taker.tick(Now_).empty());
+  }
+}
+
+// Guards against a node that stays without the source after its end of outage
+// because it hears no reader.
+TEST_CASE_FIXTURE(
+    SourceReaderFixture,
+    "failed takeover without readers retries within four seconds") {
+  Options_.Takeover_ = Takeover::AtOnce;
+  Options_.StaleAfter_ = 1200ms;
+  SourceReader Taker = make(nonReader());
+  TimePoint Last = Now_;
+  for (TimePoint End = Now_ + 60s; Now_ < End; Now_ += 50ms)
+    for (const SourceAction &Each : Taker.tick(Now_)) {
+      CHECK(Now_ - Last <= Options_.MaxTakeoverBackoff_ + 50ms);
+      Last = Now_;
+      Taker.onFailure(std::holds_alternative<ReadHosts>(Each)
+                          ? SourceCall::Hosts
+                          : SourceCall::Keys,
+                      Now_);
+    }
+  CHECK(Now_ - Last <= Options_.MaxTakeoverBackoff_ + 50ms);
+}
+
 } // namespace marigold::distribution
