Pipelined requests run together and are answered in order

Change: repeatable requests of a connection are passed on while earlier ones run, up to 8; responses keep the order of the requests. A request that may not run twice runs alone. Nothing is passed on behind a response that closes the connection; a draining connection closes after the last request in progress, and tells so in that response only. The node's own connections to targets stay without pipelining.

Tests: order with a slow one in front, 1,000 requests in one write, one that may not be repeated among them, a close in the middle, drain between responses, a client that leaves, a malformed request behind others.

--- a/src/Node/CallerProxy.cpp
+++ b/src/Node/CallerProxy.cpp
@@ -33,6 +33,9 @@
                                   std::shared_ptr<HttpExchange> Exchange) {
       onRequest(Context, std::move(Request), std::move(Exchange));
     };
+    Values.IsRepeatable_ = [Context](const HttpRequest &Line) {
+      return isRepeatable(*Context, Line);
+    };
     Values.BodyLimit_ = [Context](const HttpRequest &Head) {
       return bodyLimit(*Context, Head);
     };
@@ -61,6 +64,20 @@
         ->start();
   }
 
+  static bool isRepeatable(const CallerContext &Context,
+                           const HttpRequest &Line) {
+    auto Snapshot = Context.Parts_.Environment_.snapshot();
+    if (!Snapshot || Line.Target_.starts_with(ReservedPathPrefix))
+      return false;
+    if (const VirtualHost *Host = Snapshot->findHost(Line.Host_)) {
+      const HostRoute *Route =
+          config::Snapshot::matchHostRoute(*Host, Line.Target_);
+      return Route && Route->Repeatable_;
+    }
+    auto Route = Snapshot->matchRoute(Line.Host_, Line.Method_, Line.Target_);
+    return Route && Route.value()->Repeatable_;
+  }
+
   static std::uint64_t bodyLimit(const CallerContext &Context,
                                  const HttpRequest &Head) {
     // Only the key's owner may refuse a keyed request, whatever its size.
--- a/src/Transport/HttpServer.h
+++ b/src/Transport/HttpServer.h
@@ -29,6 +29,10 @@
 struct HttpServerOptions {
   /// Called for each complete request, on the strand of its connection.
   std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)> OnRequest_;
+  /// Whether a request, of which only method, host and target are given, may
+  /// run more than once. Pipelined requests are passed on concurrently only if
+  /// all of them may. Without it, each waits for the response before.
+  std::function<bool(const HttpRequest &)> IsRepeatable_;
   /// Maximum body size in bytes of a request, queried when its header section
   /// is complete. 64 KiB if empty.
   std::function<std::uint64_t(const HttpRequest &)> BodyLimit_;
--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace marigold::transport {
 
 namespace asio = boost::asio;
@@ -15,8 +18,9 @@
 
 namespace {
 
-// Maximum number of pipelined bytes that are buffered while a request is
-// handled. Reading continues meanwhile to detect a client that disconnects.
+// Maximum number of pipelined bytes that are buffered while no further request
+// may be passed on. Reading continues up to it to detect a client that
+// disconnects.
 constexpr std::size_t PipelineBufferLimit = std::size_t{16} * 1024;
 // Maximum size of an incomplete chunk header in bytes.
 constexpr std::size_t UnparsedLimit = std::size_t{64} * 1024;
@@ -72,7 +76,7 @@
   if (!Connection)
     return;
   Notifier_->clear();
-  Connection->respond(std::move(Response));
+  Connection->respond(Place_, std::move(Response));
 }
 
 void ServerExchange::onDisconnect(std::function<void()> Callback) {
@@ -101,17 +105,21 @@
 void HttpServerConnection::beginPhase(Phase Next,
                                       std::optional<Duration> Limit) {
   Phase_ = Next;
-  Deadline_ = Limit ? (std::chrono::steady_clock::now() + *Limit)
-                          .time_since_epoch()
-                          .count()
-                    : NoDeadline;
+  ReceiveDeadline_ =
+      Limit ? std::chrono::steady_clock::now() + *Limit : TimePoint::max();
+  updateDeadline();
+}
+
+void HttpServerConnection::updateDeadline() {
+  Deadline_ =
+      std::min(ReceiveDeadline_, WriteDeadline_).time_since_epoch().count();
 }
 
 void HttpServerConnection::read() {
   if (Reading_ || Phase_ == Phase::Closed)
     return;
-  bool Pipelined = Phase_ == Phase::Handling || Phase_ == Phase::Writing;
-  if (Pipelined && Buffer_.size() >= PipelineBufferLimit)
+  if (Phase_ != Phase::Lingering && Buffer_.size() >= PipelineBufferLimit &&
+      !mayReceive())
     return;
   Reading_ = true;
   Socket_.async_read_some(asio::buffer(Input_),
@@ -128,10 +136,10 @@
   if (Error) {
     // A half-closed connection also counts as disconnected, because it cannot
     // be distinguished from a closed one.
-    if (Phase_ != Phase::Writing)
-      shutDown();
+    if (Writing_ && Pending_.size() == 1)
+      Closing_ = true;
     else
-      KeepAlive_ = false;
+      shutDown();
     return;
   }
   if (Phase_ != Phase::Lingering) {
@@ -148,19 +156,40 @@
   if (Advancing_)
     return;
   Advancing_ = true;
-  for (bool Again = true; Again;) {
+  for (bool Again = true; Again && mayReceive();) {
     Phase Before = Phase_;
     std::size_t Size = Buffer_.size();
     if (Phase_ == Phase::Head)
       parseHead();
     else if (Phase_ == Phase::Body)
       parseBody();
-    Again = (Phase_ != Before || Buffer_.size() != Size) &&
-            (Phase_ == Phase::Head || Phase_ == Phase::Body);
+    Again = Phase_ != Before || Buffer_.size() != Size;
   }
   Advancing_ = false;
 }
 
+bool HttpServerConnection::mayReceive() {
+  if (Phase_ != Phase::Head && Phase_ != Phase::Body)
+    return false;
+  if (hasBegunRequest())
+    return true;
+  if (LastRequest_)
+    return false;
+  if (Pending_.empty())
+    return true;
+  if (Draining_ || Pending_.size() >= MaxPipelined_)
+    return false;
+  return std::ranges::all_of(Pending_, [this](const auto &Place) {
+    if (!Place->Repeatable_)
+      Place->Repeatable_ = isRepeatable(Place->Line_);
+    return *Place->Repeatable_;
+  });
+}
+
+bool HttpServerConnection::isRepeatable(const HttpRequest &Request) const {
+  return Options_->IsRepeatable_ && Options_->IsRepeatable_(Request);
+}
+
 ClientLimits HttpServerConnection::limits() const {
   return Options_->ClientLimits_ ? Options_->ClientLimits_() : ClientLimits{};
 }
@@ -248,9 +277,9 @@
   beginPhase(Phase::Body, Options_->BodyTimeout_);
   if (http::token_list(Parser_->get()[http::field::expect])
           .exists("100-continue") &&
-      Buffer_.size() == 0) {
+      Buffer_.size() == 0 && Pending_.empty()) {
     Continue_ = "HTTP/1.1 100 Continue\r\n\r\n";
-    // No other write can be in progress, since the response follows the body.
+    // No other write can be in progress, since no response is pending.
     boost::system::error_code Ignored;
     Socket_.non_blocking(true, Ignored);
     Socket_.write_some(asio::buffer(Continue_), Ignored);
@@ -280,33 +309,61 @@
 
 void HttpServerConnection::handle() {
   Parser_.reset();
-  beginPhase(Phase::Handling, std::nullopt);
-  Notifier_ = std::make_shared<DisconnectNotifier>();
+  if (!Pending_.empty() && !isRepeatable(Request_))
+    beginPhase(Phase::Held, std::nullopt);
+  else
+    passOn();
+}
+
+void HttpServerConnection::passOn() {
+  auto Place = std::make_shared<PendingResponse>();
+  Place->Notifier_ = std::make_shared<DisconnectNotifier>();
+  Place->Line_.Method_ = Request_.Method_;
+  Place->Line_.Host_ = Request_.Host_;
+  Place->Line_.Target_ = Request_.Target_;
+  Place->Close_ = !KeepAlive_;
+  Place->HeadMethod_ = HeadMethod_;
+  LastRequest_ = LastRequest_ || Place->Close_;
+  Pending_.push_back(Place);
+  beginPhase(Phase::Head, std::nullopt);
   Options_->OnRequest_(
       std::exchange(Request_, {}),
-      std::make_shared<ServerExchange>(shared_from_this(), Notifier_));
+      std::make_shared<ServerExchange>(shared_from_this(), Place));
 }
 
 void HttpServerConnection::refuse(ErrorCode Code) {
   Parser_.reset();
   if (Options_->OnRefused_)
     Options_->OnRefused_(Code);
-  write(errorResponse(Code), true);
+  auto Place = std::make_shared<PendingResponse>();
+  Place->Response_ = errorResponse(Code);
+  Place->Close_ = true;
+  LastRequest_ = true;
+  Pending_.push_back(std::move(Place));
+  beginPhase(Phase::Head, std::nullopt);
+  writeNext();
 }
 
-void HttpServerConnection::respond(HttpResponse Response) {
-  asio::dispatch(
-      Socket_.get_executor(),
-      [Self = shared_from_this(), Response = std::move(Response)]() mutable {
-        if (Self->Phase_ != Phase::Handling)
-          return;
-        Self->Notifier_.reset();
-        Self->write(std::move(Response), !Self->KeepAlive_ || Self->Draining_);
-      });
+void HttpServerConnection::respond(
+    const std::shared_ptr<PendingResponse> &Place, HttpResponse Response) {
+  asio::dispatch(Socket_.get_executor(),
+                 [Self = shared_from_this(), Place,
+                  Response = std::move(Response)]() mutable {
+                   if (Self->Phase_ == Phase::Closed || Place->Response_)
+                     return;
+                   Place->Notifier_.reset();
+                   Place->Response_ = std::move(Response);
+                   Self->writeNext();
+                 });
 }
 
-void HttpServerConnection::write(HttpResponse Response, bool Close) {
-  KeepAlive_ = !Close;
+void HttpServerConnection::writeNext() {
+  if (Writing_ || Pending_.empty() || !Pending_.front()->Response_)
+    return;
+  const PendingResponse &Place = *Pending_.front();
+  HttpResponse Response = std::move(*Pending_.front()->Response_);
+  Closing_ = Place.Close_ || (Draining_ && Pending_.size() == 1);
+  LastRequest_ = LastRequest_ || Closing_;
   unsigned Status = Response.Status_;
   if (Status < 200 || Status > 999)
     Status = 502;
@@ -314,14 +371,15 @@
   Message_->version(11);
   Message_->result(Status);
   addFields(*Message_, Response.Headers_);
-  if (Close)
+  if (Closing_)
     Message_->set(http::field::connection, "close");
-  if (!HeadMethod_ && Status != 204 && Status != 304) {
+  if (!Place.HeadMethod_ && Status != 204 && Status != 304) {
     Message_->body() = std::move(Response.Body_);
     Message_->content_length(Message_->body().size());
   }
-  HeadMethod_ = false;
-  beginPhase(Phase::Writing, Options_->WriteTimeout_);
+  Writing_ = true;
+  WriteDeadline_ = std::chrono::steady_clock::now() + Options_->WriteTimeout_;
+  updateDeadline();
   http::async_write(
       Socket_, *Message_,
       [Self = shared_from_this()](boost::system::error_code Error,
@@ -330,21 +388,31 @@
 
 void HttpServerConnection::onWritten(boost::system::error_code Error) {
   Message_.reset();
+  Writing_ = false;
+  WriteDeadline_ = TimePoint::max();
   if (Phase_ == Phase::Closed)
     return;
   if (Error) {
     shutDown();
     return;
   }
-  if (!KeepAlive_) {
+  Pending_.pop_front();
+  if (Closing_) {
     boost::system::error_code Ignored;
     Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
     Buffer_.clear();
+    Parser_.reset();
     beginPhase(Phase::Lingering, LingerTime);
     read();
     return;
   }
-  beginPhase(Phase::Head, idleTimeout());
+  if (Phase_ == Phase::Held && Pending_.empty())
+    passOn();
+  if (Phase_ == Phase::Head && isIdle())
+    beginPhase(Phase::Head, idleTimeout());
+  else
+    updateDeadline();
+  writeNext();
   advance();
   read();
 }
@@ -353,16 +421,14 @@
   if (Now.time_since_epoch().count() < Deadline_)
     return;
   asio::dispatch(Socket_.get_executor(), [Self = shared_from_this()] {
-    auto Current = std::chrono::steady_clock::now().time_since_epoch().count();
-    if (Current >= Self->Deadline_)
-      Self->onTimeout();
+    auto Current = std::chrono::steady_clock::now();
+    if (Current.time_since_epoch().count() >= Self->Deadline_)
+      Self->onTimeout(Current);
   });
 }
 
-void HttpServerConnection::onTimeout() {
-  // In Phase::Head, Parser_ is set once part of a header section has arrived.
-  bool Begun = (Phase_ == Phase::Head && Parser_) || Phase_ == Phase::Body;
-  if (Begun)
+void HttpServerConnection::onTimeout(TimePoint Now) {
+  if (Now < WriteDeadline_ && hasBegunRequest())
     refuse(ErrorCode::RequestTimeout);
   else
     shutDown();
@@ -373,10 +439,10 @@
     Self->Draining_ = true;
     boost::system::error_code Ignored;
     bool Unread = Self->Socket_.available(Ignored) > 0;
-    if (Self->Phase_ == Phase::Head && !Self->Parser_ && !Unread)
+    if (Self->Phase_ == Phase::Head && Self->isIdle() && !Unread)
       Self->shutDown();
-    else if (Self->Phase_ == Phase::Writing)
-      Self->KeepAlive_ = false;
+    else if (Self->Writing_ && Self->Pending_.size() == 1)
+      Self->Closing_ = Self->LastRequest_ = true;
   });
 }
 
@@ -391,8 +457,9 @@
   beginPhase(Phase::Closed, std::nullopt);
   boost::system::error_code Ignored;
   Socket_.close(Ignored);
-  if (auto Notifier = std::exchange(Notifier_, nullptr))
-    Notifier->disconnected();
+  for (const auto &Place : std::exchange(Pending_, {}))
+    if (auto Notifier = std::exchange(Place->Notifier_, nullptr))
+      Notifier->disconnected();
 }
 
 } // namespace marigold::transport
--- a/src/Transport/HttpServerConnection.h
+++ b/src/Transport/HttpServerConnection.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <atomic>
+#include <deque>
 #include <mutex>
 #include <optional>
 
@@ -37,14 +38,30 @@
   bool Disconnected_ = false;
 };
 
+/// A request that has been passed on, or refused, and the place of its response
+/// on the connection. Accessed only on the strand of the connection.
+struct PendingResponse {
+  /// Null once there is a response.
+  std::shared_ptr<DisconnectNotifier> Notifier_;
+  std::optional<HttpResponse> Response_;
+  /// Method, host and target, by which IsRepeatable_ decides.
+  HttpRequest Line_;
+  /// Result of IsRepeatable_, once it is needed.
+  std::optional<bool> Repeatable_;
+  /// Whether the connection closes after the response.
+  bool Close_ = false;
+  bool HeadMethod_ = false;
+};
+
 /// Passes the response of one request to its connection. Only the handler owns
 /// the exchange: if the connection owned it too, the cycle would leak both when
 /// the event loop ends before the response.
 class ServerExchange : public HttpExchange {
 public:
   ServerExchange(std::shared_ptr<HttpServerConnection> Connection,
-                 std::shared_ptr<DisconnectNotifier> Notifier)
-      : Connection_(std::move(Connection)), Notifier_(std::move(Notifier)) {}
+                 std::shared_ptr<PendingResponse> Place)
+      : Connection_(std::move(Connection)), Place_(std::move(Place)),
+        Notifier_(Place_->Notifier_) {}
 
   void respond(HttpResponse Response) override;
   void onDisconnect(std::function<void()> Callback) override;
@@ -52,11 +69,19 @@
 private:
   std::mutex Mutex_;
   std::shared_ptr<HttpServerConnection> Connection_;
+  const std::shared_ptr<PendingResponse> Place_;
   const std::shared_ptr<DisconnectNotifier> Notifier_;
 };
 
 /// Client connection. Members are accessed only on its strand unless documented
 /// otherwise.
+///
+/// Pipelined requests: repeatable requests are passed on while earlier ones
+/// still run, up to MaxPipelined_; responses are sent in the order of the
+/// requests. Any other request is passed on alone. Nothing is passed on behind
+/// a response that closes the connection, because the client sends such
+/// requests again; a connection that drains closes after the last request in
+/// progress.
 class HttpServerConnection
     : public std::enable_shared_from_this<HttpServerConnection> {
 public:
@@ -71,8 +96,13 @@
   /// Starts reading. Thread-safe.
   void start();
 
-  /// Sends a response; no effect unless a request waits for one. Thread-safe.
-  void respond(HttpResponse Response);
+  /// Sends the response of one request once those before it have been sent; no
+  /// effect if it has one already. Thread-safe.
+  void respond(const std::shared_ptr<PendingResponse> &Place,
+               HttpResponse Response);
+
+  /// Maximum number of requests in progress on a connection.
+  static constexpr std::size_t MaxPipelined_ = 8;
 
   /// Closes the connection, or refuses the request that is being received, if
   /// the current phase has timed out. Thread-safe.
@@ -90,11 +120,13 @@
   void close();
 
 private:
+  /// What the connection receives.
   enum class Phase : std::uint8_t {
     Head,
     Body,
-    Handling,
-    Writing,
+    /// A complete request waits until those before it have their responses.
+    Held,
+    /// The last response was sent; further data is discarded.
     Lingering,
     Closed
   };
@@ -111,12 +143,19 @@
   void parseHead();
   void acceptBody();
   void parseBody();
+  /// Whether the next request may be parsed, or the one that has begun goes on.
+  bool mayReceive();
+  bool hasBegunRequest() const { return Parser_ || Phase_ == Phase::Body; }
+  bool isIdle() const { return Pending_.empty() && !hasBegunRequest(); }
+  bool isRepeatable(const HttpRequest &Request) const;
   void handle();
+  void passOn();
   void refuse(ErrorCode Code);
-  void write(HttpResponse Response, bool Close);
+  void writeNext();
   void onWritten(boost::system::error_code Error);
   void beginPhase(Phase Next, std::optional<Duration> Limit);
-  void onTimeout();
+  void updateDeadline();
+  void onTimeout(TimePoint Now);
   void shutDown();
 
   boost::asio::ip::tcp::socket Socket_;
@@ -127,15 +166,25 @@
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   HttpRequest Request_;
-  std::shared_ptr<DisconnectNotifier> Notifier_;
+  /// Requests without a complete response, in their order. The response of the
+  /// first one is being sent if Writing_ is set.
+  std::deque<std::shared_ptr<PendingResponse>> Pending_;
   std::optional<Message> Message_;
   std::string Continue_;
   Phase Phase_ = Phase::Head;
   bool Reading_ = false;
+  bool Writing_ = false;
+  /// The connection closes after the response that is being sent.
+  bool Closing_ = false;
+  /// No request is accepted any more.
+  bool LastRequest_ = false;
   bool KeepAlive_ = false;
   bool HeadMethod_ = false;
   bool Draining_ = false;
   bool Advancing_ = false;
+  /// Time limits of receiving, or of being idle, and of sending.
+  TimePoint ReceiveDeadline_ = TimePoint::max();
+  TimePoint WriteDeadline_ = TimePoint::max();
   // Read from another thread by the timeout check of the server.
   std::atomic<TimePoint::rep> Deadline_;
 };
--- a/unittests/Transport/HttpServerTest.cpp
+++ b/unittests/Transport/HttpServerTest.cpp
@@ -6,8 +6,12 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <mutex>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace marigold::transport {
 
@@ -67,6 +71,194 @@
   CHECK(bodyOf(Client.receiveHttp()) == "/c|desk|abcde");
 }
 
+namespace {
+
+/// A server at which GET requests are repeatable. Requests wait until the test
+/// answers them; their targets are recorded in the order in which they arrive.
+struct PipelineFixture : HttpServerFixture {
+  PipelineFixture() {
+    Options_.IsRepeatable_ = [](const HttpRequest &Line) {
+      return Line.Method_ == "GET";
+    };
+    Options_.OnRequest_ = [this](const HttpRequest &Request,
+                                 std::shared_ptr<HttpExchange> Exchange) {
+      Exchange->onDisconnect([this] { ++Disconnected_; });
+      std::lock_guard Lock(Mutex_);
+      Targets_.push_back(Request.Target_);
+      Exchanges_.push_back(std::move(Exchange));
+    };
+  }
+  ~PipelineFixture() { Threads_.stop(); }
+
+  static std::string get(const std::string &Target,
+                         const std::string &Fields = "") {
+    return "GET " + Target + " HTTP/1.1\r\nHost: desk\r\n" + Fields + "\r\n";
+  }
+
+  bool waitFor(std::size_t Count) {
+    return eventually([&] { return count() >= Count; });
+  }
+
+  std::size_t count() {
+    std::lock_guard Lock(Mutex_);
+    return Targets_.size();
+  }
+
+  /// Answers a request with its target as the body.
+  void answer(std::size_t Index) {
+    std::shared_ptr<HttpExchange> Exchange;
+    HttpResponse Response;
+    {
+      std::lock_guard Lock(Mutex_);
+      Exchange = std::exchange(Exchanges_[Index], nullptr);
+      Response.Body_ = Targets_[Index];
+    }
+    Exchange->respond(std::move(Response));
+  }
+
+  std::mutex Mutex_;
+  std::vector<std::string> Targets_;
+  std::vector<std::shared_ptr<HttpExchange>> Exchanges_;
+  std::atomic<int> Disconnected_ = 0;
+};
+
+} // namespace
+
+// Guards against a slow request that keeps those behind it from being run, and
+// against responses in another order than the requests.
+TEST_CASE_FIXTURE(PipelineFixture,
+                  "pipelined requests run together and are answered in order") {
+  RawConnection Client = connect();
+  Client.send(get("/0") + get("/1"));
+  Client.send(get("/2"));
+  REQUIRE(waitFor(3));
+  answer(2);
+  answer(1);
+  answer(0);
+  for (const char *Target : {"/0", "/1", "/2"})
+    CHECK(bodyOf(Client.receiveHttp()) == Target);
+  Client.send(get("/3"));
+  REQUIRE(waitFor(4));
+  answer(3);
+  CHECK(bodyOf(Client.receiveHttp()) == "/3");
+}
+
+// Guards against an unbounded number of requests in progress, and against
+// requests that are lost or repeated when the bound holds them back.
+TEST_CASE_FIXTURE(PipelineFixture,
+                  "thousand pipelined requests in one write are all answered") {
+  constexpr std::size_t Count = 1000;
+  RawConnection Client = connect();
+  std::string Text;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Text += get("/" + std::to_string(Index));
+  std::thread Writer([&] { Client.send(Text); });
+  std::size_t Most = 0;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    REQUIRE(waitFor(Index + 1));
+    Most = std::max(Most, count() - Index);
+    answer(Index);
+    REQUIRE(bodyOf(Client.receiveHttp()) == "/" + std::to_string(Index));
+  }
+  Writer.join();
+  CHECK(Most <= 8);
+  CHECK(Most > 1);
+  CHECK(count() == Count);
+}
+
+// Guards against running a request that may not run twice while the response
+// before it may still close the connection, after which the client sends it
+// again.
+TEST_CASE_FIXTURE(PipelineFixture,
+                  "pipelined request that may not be repeated runs alone") {
+  const std::string Post =
+      "POST /p HTTP/1.1\r\nHost: desk\r\nContent-Length: 0\r\n\r\n";
+  RawConnection Client = connect();
+  Client.send(get("/0") + Post + get("/1"));
+  REQUIRE(waitFor(1));
+  RawConnection Other = connect();
+  Other.send(get("/other"));
+  REQUIRE(waitFor(2));
+  CHECK(Targets_[1] == "/other");
+  answer(0);
+  CHECK(bodyOf(Client.receiveHttp()) == "/0");
+  REQUIRE(waitFor(3));
+  CHECK(Targets_[2] == "/p");
+  Other.send(get("/other2"));
+  REQUIRE(waitFor(4));
+  CHECK(Targets_[3] == "/other2");
+  answer(2);
+  CHECK(bodyOf(Client.receiveHttp()) == "/p");
+  REQUIRE(waitFor(5));
+  answer(4);
+  CHECK(bodyOf(Client.receiveHttp()) == "/1");
+}
+
+// Guards against running a request behind a response that closes the
+// connection: its client sends it again.
+TEST_CASE_FIXTURE(PipelineFixture,
+                  "request behind a closing response is not passed on") {
+  RawConnection Client = connect();
+  Client.send(get("/0") + get("/1", "Connection: close\r\n") + get("/2"));
+  REQUIRE(waitFor(2));
+  answer(1);
+  answer(0);
+  std::string First = Client.receiveHttp();
+  CHECK(bodyOf(First) == "/0");
+  CHECK(fieldOf(First, "connection").empty());
+  std::string Last = Client.receiveAll();
+  CHECK(bodyOf(Last) == "/1");
+  CHECK(fieldOf(Last, "connection") == "close");
+  CHECK(count() == 2);
+}
+
+// Guards against a drain that cuts off pipelined requests in progress.
+TEST_CASE_FIXTURE(PipelineFixture,
+                  "draining connection closes after the last one in progress") {
+  RawConnection Client = connect();
+  Client.send(get("/0") + get("/1"));
+  REQUIRE(waitFor(2));
+  Server_->beginDrain();
+  Client.send(get("/2"));
+  RawConnection Other = connect();
+  Other.send(get("/other"));
+  REQUIRE(waitFor(3));
+  CHECK(Targets_[2] == "/other");
+  answer(0);
+  std::string First = Client.receiveHttp();
+  CHECK(bodyOf(First) == "/0");
+  CHECK(fieldOf(First, "connection").empty());
+  answer(1);
+  std::string Last = Client.receiveAll();
+  CHECK(bodyOf(Last) == "/1");
+  CHECK(fieldOf(Last, "connection") == "close");
+  CHECK(count() == 3);
+}
+
+// Guards against requests that run on after their client has left.
+TEST_CASE_FIXTURE(PipelineFixture,
+                  "client that leaves cancels all its pipelined requests") {
+  RawConnection Client = connect();
+  Client.send(get("/0") + get("/1") + get("/2"));
+  REQUIRE(waitFor(3));
+  Client.close(true);
+  CHECK(eventually([&] { return Disconnected_ == 3; }));
+}
+
+// Guards against a refusal that overtakes the responses before it.
+TEST_CASE_FIXTURE(PipelineFixture,
+                  "malformed request behind others is refused in its turn") {
+  RawConnection Client = connect();
+  Client.send(get("/0") + "nonsense\r\n\r\n" + get("/1"));
+  REQUIRE(waitFor(1));
+  answer(0);
+  CHECK(bodyOf(Client.receiveHttp()) == "/0");
+  std::string Refusal = Client.receiveAll();
+  CHECK(statusOf(Refusal) == 400);
+  CHECK(fieldOf(Refusal, "connection") == "close");
+  CHECK(count() == 1);
+}
+
 // HTTP implementations disagree on how to parse each row, which would allow a
 // request to be smuggled in the body of another one.
 TEST_CASE_FIXTURE(HttpServerFixture,
