--- a/unittests/Calls/OutcomeTrackerTest.cpp
+++ b/unittests/Calls/OutcomeTrackerTest.cpp
@@ -239,8 +239,15 @@
   return Ends;
 }
 
-const std::vector<std::pair<Code, bool>> &hedgeEnds() {
-  static const std::vector<std::pair<Code, bool>> Ends{
+/// Code with which a hedge ends without an answer, and whether the request may
+/// have run in it.
+struct HedgeEnd {
+  Code Code_;
+  bool MayHaveRun_;
+};
+
+const std::vector<HedgeEnd> &hedgeEnds() {
+  static const std::vector<HedgeEnd> Ends{
       {Code::QueueFull, false},       {Code::TargetRefused, false},
       {Code::TargetDown, false},      {Code::Draining, false},
       {Code::NodeLost, true},         {Code::TargetLost, true},
@@ -278,26 +285,26 @@
 // attempt or the call ends: before the hedge, after it, or while it is pending.
 TEST_CASE("outcome of an attempt with a hedge covers both") {
   for (const AttemptEnd &First : attemptEnds())
-    for (auto [HedgeCode, HedgeMayHaveRun] : hedgeEnds())
+    for (const HedgeEnd &Hedge : hedgeEnds())
       for (bool HedgeFirst : {true, false}) {
         CAPTURE(First.Name_);
-        CAPTURE(errorText(HedgeCode));
+        CAPTURE(errorText(Hedge.Code_));
         CAPTURE(HedgeFirst);
         OutcomeTracker Tracker(AtCaller);
         REQUIRE(Tracker.beginAttempt());
         Tracker.hedgeSent();
         CHECK(Tracker.verdict().Outcome_ == Outcome::Unknown);
         if (HedgeFirst)
-          Tracker.hedgeFailed(HedgeCode);
+          Tracker.hedgeFailed(Hedge.Code_);
         for (Event Next : First.Events_)
           Next(Tracker);
         if (!HedgeFirst) {
           CHECK(Tracker.verdict().Outcome_ == Outcome::Unknown);
-          Tracker.hedgeFailed(HedgeCode);
+          Tracker.hedgeFailed(Hedge.Code_);
         }
         Verdict Actual = Tracker.verdict();
         CHECK((Actual.Outcome_ == Outcome::Unknown) ==
-              (First.MayHaveRun_ || HedgeMayHaveRun));
+              (First.MayHaveRun_ || Hedge.MayHaveRun_));
         REQUIRE(Actual.Reason_);
         CHECK(errorOutcome(*Actual.Reason_) == Actual.Outcome_);
       }
--- a/unittests/Distribution/SourceReaderTest.cpp
+++ b/unittests/Distribution/SourceReaderTest.cpp
@@ -378,7 +378,7 @@
   Confirmation_.confirm(Now_);
   SourceReader Taker = make(nonReader());
   SourceReader Reader = make(firstReader());
-  auto callsInOutage = [this](SourceReader &Node) {
+  auto CallsInOutage = [this](SourceReader &Node) {
     std::size_t Calls = 0;
     for (TimePoint End = Now_ + 8s; Now_ < End; Now_ += 50ms)
       for (const SourceAction &Each : Node.tick(Now_)) {
@@ -391,9 +391,9 @@
     return Calls;
   };
   TimePoint Start = Now_;
-  std::size_t TakerCalls = callsInOutage(Taker);
+  std::size_t TakerCalls = CallsInOutage(Taker);
   Now_ = Start;
-  std::size_t ReaderCalls = callsInOutage(Reader);
+  std::size_t ReaderCalls = CallsInOutage(Reader);
   // Rounds of two calls at 1.2 s and then at least 0.5, 1, 2 and 2 s later.
   CHECK(TakerCalls >= 4);
   CHECK(TakerCalls <= 10);
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -300,7 +300,8 @@
   Target.send(Good);
   CHECK_FALSE(failureOf(Got));
   bool Open = true;
-  for (std::size_t Sent = 0; Open && Sent < 64 * 1024; ++Sent)
+  constexpr std::size_t MaxBlocks = 65'536;
+  for (std::size_t Sent = 0; Open && Sent < MaxBlocks; ++Sent)
     Open = Target.send(std::string(1024, 'x'));
   CHECK_FALSE(Open);
 }
