--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -88,6 +88,9 @@
         self._items = {}
         self._events = []
         self._changed = asyncio.Condition()
+        self.losing = False  # whether answers with changes are lost
+        self.answered = 0    # answers and lost answers while losing is set
+        self.lost = 0
 
     async def start(self):
         self._server = await asyncio.start_server(
@@ -130,6 +133,11 @@
                 args = {k: v[0] for k, v in
                         urllib.parse.parse_qs(query).items()}
                 status, body = await self._answer(path, args)
+                self.answered += self.losing
+                if self.losing and body.get("events"):
+                    self.lost += 1
+                    self._record.line(f"store loses its answer to {head[0]}")
+                    await asyncio.sleep(3600)
                 data = json.dumps(body).encode()
                 reason = {200: "OK", 404: "Not Found"}[status]
                 writer.write(
@@ -189,8 +197,8 @@
         self.keep_alive = keep_alive
         self.reached = []  # (time, request id, path, caller's service)
         self.ran = []
-        self.done = 0
-        self.calls = None
+        self.garbled = 0
+        self.garble = 0.0  # share of answers of which a second copy follows
         self._sequence = 0
         self._running = 0
         self._waiting = 0
@@ -234,6 +242,7 @@
 
     async def _serve(self, reader, writer):
         self._connections.add(writer)
+        copy = b""
         try:
             while True:
                 head = await read_head(reader)
@@ -245,7 +254,18 @@
                 length = int(fields.get("content-length", 0))
                 if length:
                     await reader.readexactly(length)
-                await self._request(line, fields, length, writer)
+                if copy:
+                    self.record.line(f"worker {self.name} sends the second "
+                                     "copy of its answer before, late and "
+                                     "without a length")
+                    writer.write(copy)
+                    await writer.drain()
+                    break
+                await self._request(line, fields, writer)
+                if self.garble and random.random() < self.garble:
+                    self.garbled += 1
+                    copy = self._answer(
+                        200, fields.get("marigolddale-request-id", ""))
                 if fields.get("connection", "").lower() == "close":
                     break
         except (ConnectionError, asyncio.IncompleteReadError,
@@ -256,7 +276,15 @@
                 self._connections.discard(writer)
                 writer.close()
 
-    async def _request(self, line, fields, length, writer):
+    def _answer(self, status, number):
+        """An answer without a length, which ends with its connection."""
+        body = make_body(number, self.body)
+        return (f"HTTP/1.1 {status} OK\r\n"
+                f"Marigolddale-Request-Id: {number}\r\n"
+                f"Marigolddale-Response-Stamp: {self.name}.{number}\r\n\r\n"
+                ).encode() + body
+
+    async def _request(self, line, fields, writer):
         method, path, _ = line.split(" ")
         number = fields.get("marigolddale-request-id", "")
         caller = fields.get("marigolddale-caller-service", "")
@@ -288,7 +316,6 @@
                 self._running -= 1
         if self._silent:
             await asyncio.sleep(3600)
-        self.done += 1
         size = self.body(path) if callable(self.body) else self.body
         await self._reply(
             writer, 200, common +
