--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,6 +12,7 @@
 
 TIME_LIMIT = 4.0
 DRAIN = 2.0
+LEAVES_AFTER = 3.0  # drain_s and a little longer
 RATE = 34           # bookings a second: the rate of the sheet for each worker
 WORK = (1.0, 1.8)   # seconds; on average nearly seven times the usual 0.21
 
@@ -53,7 +54,12 @@
     if trouble:
         await world.store.remove("servers/i-desk-1")
         acked = record.now()
-    await send(4.0)
+    sending = asyncio.create_task(send(4.0))
+    if trouble:
+        await asyncio.sleep(LEAVES_AFTER)
+        record.line("worker i-desk-1 exits")
+        leaving.stop()
+    await sending
     answers = await asyncio.gather(*tasks)
     served = sum(1 for answer in answers if answer.status == 200)
     record.line(f"{len(answers)} bookings, {served} answered 200")
@@ -64,6 +70,11 @@
     for when, number, path, _ in late:
         record.line(f"DRAIN broken: id={number} {path} reached i-desk-1 "
                     f"{when - acked:.3f} s after the ack of its removal")
+    status = {answer.number: answer.status for answer in answers}
+    for when, number, path, _ in late:
+        if status.get(number) != 200:
+            record.line(f"lost with the worker: id={number} began to run and "
+                        f"its client has {status.get(number)}")
     return bool(late), (f"{len(late)} bookings reached the worker later than "
                         f"{DRAIN} s after its removal")
 
