--- a/review/2/case.py
+++ b/review/2/case.py
@@ -47,14 +47,14 @@
             await asyncio.sleep(1 / RATE)
 
     await send(3.0)
-    new = None
     if trouble:
         old.fall_silent()
         sending = asyncio.create_task(send(1.0))
         await asyncio.sleep(REUSE_AFTER)
         old.leave_address()
-        new = await world.add_worker(desk, "i-board-2", service="leak-board",
-                                     work=0.16)
+        desk.service = "leak-board"
+        desk.write_settings()
+        await world.add_worker(desk, "i-board-2", work=0.16)
         await sending
     else:
         await send(1.0)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,7 +13,7 @@
 TIME_LIMIT = 4.0
 DRAIN = 2.0
 LEAVES_AFTER = 3.0  # drain_s and a little longer
-RATE = 34           # bookings a second: the rate of the sheet for each worker
+RATE = 40           # bookings a second: 1.2 times the rate of the sheet
 WORK = (1.0, 1.8)   # seconds; on average nearly seven times the usual 0.21
 
 
