--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -347,7 +347,6 @@
         self.sent_all = None   # last byte sent
         self.status = None
         self.stamp = ""
-        self.retry_after = 0.0
         self.ended = None
         self.expected = None   # bytes announced
         self.body = b""
@@ -356,28 +355,15 @@
 
 
 class Connection:
-    """A client's connection to the outbound address of its machine. Segment
-    size and receive buffer are those of a network path, not of loopback."""
+    """A client's connection to the outbound address of its machine."""
 
-    def __init__(self, host, port, *, rate=None, segment=None, window=None):
+    def __init__(self, host, port):
         self._address = (host, port)
-        self._rate, self._segment, self._window = rate, segment, window
         self.reader = self.writer = None
-        self.served = 0
 
     async def open(self):
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        if self._window:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._window)
-        if self._segment:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG,
-                            self._segment)
-        loop = asyncio.get_running_loop()
-        await asyncio.wait_for(loop.sock_connect(sock, self._address), 1.0)
-        limit = 4096 if self._rate else 65536
-        self.reader, self.writer = await asyncio.open_connection(
-            sock=sock, limit=limit)
+        self.reader, self.writer = await asyncio.wait_for(
+            asyncio.open_connection(*self._address), 1.0)
 
     def close(self):
         if self.writer:
@@ -429,24 +415,17 @@
             raise ConnectionError("closed before an answer")
         answer.status = int(head[0].split(" ")[1])
         answer.stamp = head[1].get("marigolddale-response-stamp", "")
-        answer.retry_after = float(head[1].get("retry-after", 0))
         answer.expected = int(head[1].get("content-length", 0))
-        start, pieces, got = time.monotonic(), [], 0
+        pieces, got = [], 0
         while got < answer.expected:
-            piece = await self.reader.read(
-                min(4096 if self._rate else 65536, answer.expected - got))
+            piece = await self.reader.read(answer.expected - got)
             if not piece:
                 answer.body = b"".join(pieces)
                 raise ConnectionError("closed within the body")
             pieces.append(piece)
             got += len(piece)
-            if self._rate:
-                ahead = got / self._rate - (time.monotonic() - start)
-                if ahead > 0.002:
-                    await asyncio.sleep(ahead)
         answer.body = b"".join(pieces)
         answer.complete = True
-        self.served += 1
         if head[1].get("connection", "").lower() == "close":
             self.close()
             self.writer = None
@@ -615,8 +594,8 @@
             await asyncio.sleep(0.1)
         self.record.line("all nodes are ready")
 
-    def connect(self, machine, **options):
-        return Connection(machine.ip, self.outbound_port, **options)
+    def connect(self, machine):
+        return Connection(machine.ip, self.outbound_port)
 
     async def stop(self):
         for machine in self.machines:
