--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,23 +13,31 @@
 TIME_LIMIT = 4.0
 DRAIN = 2.0
 LEAVES_AFTER = 3.0  # drain_s and a little longer
-RATE = 40           # bookings a second: 1.2 times the rate of the sheet
-WORK = (1.0, 1.8)   # seconds; on average nearly seven times the usual 0.21
+RATE = 30           # bookings a second, for two workers
+WORK = (0.8, 1.1)   # seconds; on average 4.5 times the usual 0.21
+SLOTS = 6
 
 
 async def play(world, trouble):
     record = world.record
     desk = world.add_machine("sidecar-quito-1", "crew-desk")
-    board = world.add_machine("sidecar-quito-2", "leak-board")
+    boards = [world.add_machine(f"sidecar-{zone}-2", "leak-board", zone)
+              for zone in ("quito", "ambato", "riobamba")]
+    board = boards[0]
     other = world.add_machine("sidecar-ambato-1", "crew-desk", zone="ambato")
     await world.configure(1, [
         ("r-1", "desk.example", "/book/", "non_idempotent", "crew-desk", 4,
          0.6, 1),
         ("r-2", "board.example", "/leaks/", "idempotent", "leak-board", 3,
          0.5, 2)], ["crew-desk", "leak-board"])
-    leaving = await world.add_worker(desk, "i-desk-1", work=lambda _: random.uniform(*WORK))
-    await world.add_worker(other, "i-desk-2", work=lambda _: random.uniform(*WORK))
-    await world.add_worker(board, "i-board-1", work=0.16)
+
+    def work(_):
+        return random.uniform(*WORK)
+
+    leaving = await world.add_worker(desk, "i-desk-1", work=work, slots=SLOTS)
+    await world.add_worker(other, "i-desk-2", work=work, slots=SLOTS)
+    for number, machine in enumerate(boards, 1):
+        await world.add_worker(machine, f"i-board-{number}", work=0.16)
     await world.start_machines()
     await asyncio.sleep(4.0)  # all machines are in touch (contact_s is 3)
 
