--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -630,7 +630,7 @@
             world.record.line("verdict: " + text)
             print(text)
             return BROKEN if broken else HELD
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        except Exception as error:  # an exit code of 1 would be a verdict
             print(f"could not run: {error!r}")
             return NOT_RUN
         finally:
