--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -118,11 +118,9 @@
   return Actions;
 }
 
-AdmissionActions AdmissionControl::setLeaving(bool Leaving, TimePoint) {
+AdmissionActions AdmissionControl::refuseQueued(ErrorCode Reason) {
   AdmissionActions Actions;
-  Leaving_ = Leaving;
-  if (Leaving)
-    refuseQueue(Actions, ErrorCode::Draining);
+  refuseQueue(Actions, Reason);
   return Actions;
 }
 
--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -139,8 +139,12 @@
   AdmissionActions beginDrain(TimePoint Now);
 
   /// Sets whether the platform lists the target as leaving. While it does, new
-  /// and queued requests are refused with Draining.
-  AdmissionActions setLeaving(bool Leaving, TimePoint Now);
+  /// requests are refused with Draining.
+  void setLeaving(bool Leaving) { Leaving_ = Leaving; }
+
+  /// Refuses all queued requests. Called when the target has changed so that it
+  /// must not run what was queued for it.
+  AdmissionActions refuseQueued(ErrorCode Reason);
 
   /// Called when the target accepts no connections. Refuses new and queued
   /// requests with TargetDown until targetUp.
--- /dev/null
+++ b/src/Node/OwnTarget.cpp
@@ -0,0 +1,14 @@
+#include "Node/OwnTarget.h"
+
+namespace marigold::node {
+
+std::optional<ErrorCode> refusalBy(const OwnTarget &Own,
+                                   std::string_view Service) {
+  if (Own.Service_.empty() || Own.Service_ != Service)
+    return ErrorCode::WrongService;
+  if (Own.Leaving_)
+    return ErrorCode::Draining;
+  return std::nullopt;
+}
+
+} // namespace marigold::node
--- a/src/Node/OwnTarget.h
+++ b/src/Node/OwnTarget.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "Schema/generated/Errors.h"
+
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace marigold::node {
 
@@ -28,4 +32,10 @@
   friend bool operator==(const OwnTarget &, const OwnTarget &) = default;
 };
 
+/// Returns why the own target must not run a request for a service, or nothing
+/// if it may. A request that has waited is checked again, because the target
+/// may have changed meanwhile.
+std::optional<ErrorCode> refusalBy(const OwnTarget &Own,
+                                   std::string_view Service);
+
 } // namespace marigold::node
--- a/src/Node/TargetHealth.cpp
+++ b/src/Node/TargetHealth.cpp
@@ -210,13 +210,16 @@
   HostState State = HostState::Ready;
   {
     std::lock_guard Lock(Admission_.Mutex_);
-    TimePoint Now = std::chrono::steady_clock::now();
     NewInstance = Admission_.Own_.Instance_ != Own.Instance_;
+    // All queued requests were admitted for the previous service.
+    auto Reason = refusalBy(Own, Admission_.Own_.Service_);
     Admission_.Own_ = Own;
     // Forces a new configuration: another service or instance may have other
     // slots and limits.
     Admission_.Configured_ = {};
-    Actions = Admission_.Control_.setLeaving(Own.Leaving_, Now);
+    if (Reason)
+      Actions = Admission_.Control_.refuseQueued(*Reason);
+    Admission_.Control_.setLeaving(Own.Leaving_);
     if (Admission_.Control_.draining() || Own.Leaving_)
       State = HostState::Draining;
     else if (!Admission_.Monitor_.isUp())
@@ -229,6 +232,7 @@
             {"leaving", Own.Leaving_ ? "true" : "false"},
             {"listed", Own.Unlisted_ ? "false" : "true"}});
   apply(Actions);
+  Pool_.recheckWaiting();
   // Idle connections lead to the previous instance at the same address.
   if (NewInstance)
     Pool_.closeIdle();
--- a/src/Node/TargetProxy.cpp
+++ b/src/Node/TargetProxy.cpp
@@ -100,8 +100,8 @@
 TargetProxy::Impl::rulesForCall(const CallStart &Start,
                                 const config::Snapshot *Current) const {
   OwnTarget Own = ownTarget();
-  if (Own.Service_.empty() || Start.Service_ != Own.Service_)
-    return fail(ErrorCode::WrongService, Own.Service_);
+  if (auto Code = refusalBy(Own, Start.Service_))
+    return fail(*Code, Own.Service_);
   if (Own.Unlisted_)
     return fail(ErrorCode::TargetUnlisted);
   if (!Current || Parts_.Environment_.gate() != CallGate::Open)
@@ -136,7 +136,7 @@
       Admission_.Own_.Slots_ != 0 ? Admission_.Own_.Slots_ : Service.Slots_;
   Values.Queue_ = Service.Queue_;
   Admission_.Control_ = admission::AdmissionControl(Values);
-  Admission_.Control_.setLeaving(Admission_.Own_.Leaving_, Now);
+  Admission_.Control_.setLeaving(Admission_.Own_.Leaving_);
   if (!Admission_.Monitor_.isUp())
     Admission_.Control_.targetDown(Now);
   if (Draining)
@@ -239,7 +239,11 @@
       Ticket.Objective_ = Now + Run->Start_.Objective_;
     if (UsesLink)
       Ticket.Transfer_ = transferTime(Ticket.Kind_);
-    Decision = Admission_.Control_.submit(Ticket, Now);
+    // The target may have changed since the rules were checked.
+    if (auto Code = refusalBy(Admission_.Own_, Run->Start_.Service_))
+      Decision.Reason_ = *Code;
+    else
+      Decision = Admission_.Control_.submit(Ticket, Now);
     if (UsesLink && Decision.Admission_ != Admission::Refuse)
       Admission_.Transfers_.onAdmitted(Run->Id_, Ticket.Kind_);
     if (Decision.Admission_ != Admission::Refuse) {
--- a/src/Node/TargetProxyImpl.h
+++ b/src/Node/TargetProxyImpl.h
@@ -153,6 +153,11 @@
   Result<CallRules> rulesForCall(const CallStart &Start,
                                  const config::Snapshot *Current) const;
   OwnTarget ownTarget() const;
+  /// Whether a request that waited for a connection may still be written to the
+  /// target. Instance is the one that the request names as expected. Fails with
+  /// an error of refusalBy, or with TargetUnlisted after a change of instance.
+  Result<void> checkBeforeWrite(const TargetRun &Run,
+                                const std::string &Instance) const;
   void logRun(const TargetRun &Run, std::string_view Decision,
               std::string_view Reason, const LoadReport &Load,
               Duration Latency);
--- a/src/Node/TargetRun.cpp
+++ b/src/Node/TargetRun.cpp
@@ -45,8 +45,17 @@
 /// Error code for a request of which nothing was written to the target.
 ErrorCode unsentCode(const HttpClientFailure &Failed,
                      const calls::Deadline &Limit) {
-  if (Failed.Cause_.Code_ == ErrorCode::Cancelled)
+  switch (Failed.Cause_.Code_) {
+  case ErrorCode::Cancelled:
     return ErrorCode::CancelledBeforeRun;
+  // The target changed while the request waited for a connection.
+  case ErrorCode::WrongService:
+  case ErrorCode::TargetUnlisted:
+  case ErrorCode::Draining:
+    return Failed.Cause_.Code_;
+  default:
+    break;
+  }
   if (Limit.passed(std::chrono::steady_clock::now()))
     return ErrorCode::DeadlineBeforeRun;
   return ErrorCode::TargetDown;
@@ -85,7 +94,8 @@
            std::to_string(wholeMilliseconds(Remaining).count()));
   addField(Request.Headers_, Names.Depth_, std::to_string(Start.Depth_));
   addField(Request.Headers_, Names.CallerService_, Start.Caller_);
-  addField(Request.Headers_, Names.ExpectedInstance_, ownTarget().Instance_);
+  OwnTarget Own = ownTarget();
+  addField(Request.Headers_, Names.ExpectedInstance_, Own.Instance_);
   if (!Names.RequestId_.empty()) {
     Request.EchoField_ = Names.RequestId_;
     Request.EchoValue_ =
@@ -95,6 +105,10 @@
     Request.Body_ = *Run->Body_;
   Request.Repeatable_ = Run->Repeatable_;
   Request.Deadline_ = Now + Remaining;
+  Request.MayWrite_ = [Self = shared_from_this(), Run,
+                       Instance = Own.Instance_] {
+    return Self->checkBeforeWrite(*Run, Instance);
+  };
   Run->Forwarded_ = Now;
 
   {
@@ -118,6 +132,17 @@
   });
 }
 
+Result<void>
+TargetProxy::Impl::checkBeforeWrite(const TargetRun &Run,
+                                    const std::string &Instance) const {
+  std::lock_guard Lock(Admission_.Mutex_);
+  if (auto Code = refusalBy(Admission_.Own_, Run.Start_.Service_))
+    return fail(*Code);
+  if (Admission_.Own_.Instance_ != Instance)
+    return fail(ErrorCode::TargetUnlisted);
+  return success();
+}
+
 void TargetProxy::Impl::apply(const admission::AdmissionActions &Actions) {
   for (const admission::RefusedTicket &Ticket : Actions.Refuse_)
     if (TargetRunPtr Run = findRun(Ticket.Id_)) {
--- a/src/Transport/HttpClientPool.cpp
+++ b/src/Transport/HttpClientPool.cpp
@@ -157,7 +157,8 @@
         Target_, Task->Request_.Deadline_,
         [Self = shared_from_this(), Task, Connection](Result<void> Opened) {
           if (Opened) {
-            Self->start(Task, Connection);
+            if (!Self->start(Task, Connection))
+              asio::post(Self->Strand_, [Self] { Self->assign(); });
             return;
           }
           --Self->Open_;
@@ -166,7 +167,17 @@
         });
   }
 
-  void start(const JobPtr &Task, const ConnectionPtr &Connection) {
+  /// Writes a request unless it may not be written any more. Returns false in
+  /// that case; the connection is then idle.
+  bool start(const JobPtr &Task, const ConnectionPtr &Connection) {
+    if (auto Allowed = mayWrite(*Task); !Allowed) {
+      if (Stopped_)
+        --Open_;
+      else
+        returnToIdle(Connection);
+      failUnsent(Task, Allowed.error());
+      return false;
+    }
     bool Reused = Connection->used();
     TimePoint Sent = std::chrono::steady_clock::now();
     Task->Connection_ = Connection;
@@ -196,6 +207,22 @@
                            Self->Waiting_.front() == Task)
                          Self->armQueueTimer(Task);
                      });
+    return true;
+  }
+
+  static Result<void> mayWrite(const Job &Task) {
+    return Task.Request_.MayWrite_ ? Task.Request_.MayWrite_() : success();
+  }
+
+  void recheckWaiting() {
+    asio::post(Strand_, [Self = shared_from_this()] {
+      auto Waiting = Self->Waiting_;
+      for (const JobPtr &Task : Waiting)
+        if (auto Allowed = mayWrite(*Task); !Allowed) {
+          std::erase(Self->Waiting_, Task);
+          Self->failUnsent(Task, Allowed.error());
+        }
+    });
   }
 
   void limitResponseMemory() {
@@ -301,6 +328,8 @@
 
 void HttpClientPool::cancel(std::uint64_t Number) { Impl_->cancel(Number); }
 
+void HttpClientPool::recheckWaiting() { Impl_->recheckWaiting(); }
+
 void HttpClientPool::probe(Duration Timeout,
                            std::function<void(bool Accepted)> Done) {
   Impl_->probe(Timeout, std::move(Done));
--- a/src/Transport/HttpClientPool.h
+++ b/src/Transport/HttpClientPool.h
@@ -32,11 +32,16 @@
   /// to an earlier request and is discarded. An empty name disables the check.
   std::string EchoField_ = {};
   std::string EchoValue_ = {};
+  /// Called on the strand of the pool immediately before each write of the
+  /// request, which may have waited for a connection. After a failure the
+  /// request is not written and ends with that failure. May be empty.
+  std::function<Result<void>()> MayWrite_ = {};
 };
 
 /// Failure of a request that received no complete response.
 struct HttpClientFailure {
-  /// ConnectionFailed, TimedOut, MalformedAnswer, AnswerTooLarge or Cancelled.
+  /// ConnectionFailed, TimedOut, MalformedAnswer, AnswerTooLarge, Cancelled or
+  /// the failure of HttpClientRequest::MayWrite_.
   Failure Cause_;
   /// Whether any byte of the request may have been written. If not, the request
   /// certainly did not run.
@@ -100,6 +105,10 @@
   /// request fails with Cancelled. No effect if the request has ended.
   void cancel(std::uint64_t Number);
 
+  /// Calls HttpClientRequest::MayWrite_ for all requests that wait for a
+  /// connection, and ends those that may not be written any more.
+  void recheckWaiting();
+
   /// Opens and closes a TCP connection to check whether the target accepts
   /// connections.
   void probe(Duration Timeout, std::function<void(bool Accepted)> Done);
