--- a/src/Transport/HttpGet.cpp
+++ b/src/Transport/HttpGet.cpp
@@ -92,7 +92,7 @@
   void read() {
     Parser_.header_limit(HttpHeaderLimit);
     Parser_.body_limit(Request_.Limit_);
-    if (Request_.LinkRate_ > 0) {
+    if (Request_.LinkRate_ > 0 || Request_.OnProgress_) {
       Parser_.eager(true);
       readPiece();
       return;
@@ -109,6 +109,8 @@
         Stream_, Buffer_, Parser_,
         [Self = shared_from_this()](beast::error_code Error, std::size_t Size) {
           Self->Received_ += Size;
+          if (Size != 0 && Self->Request_.OnProgress_)
+            Self->Request_.OnProgress_();
           if (Error || Self->Parser_.is_done())
             Self->onRead(Error, Self->Received_);
           else
@@ -119,7 +121,7 @@
   /// Waits for the time that Size bytes take at the paced rate, then continues
   /// reading.
   void pauseAfter(std::size_t Size) {
-    double Rate = Parser_.is_header_done()
+    double Rate = Parser_.is_header_done() && Request_.LinkRate_ > 0
                       ? pacedReadRate(Parser_.content_length().value_or(0),
                                       Request_.LinkRate_)
                       : 0;
--- a/src/Transport/HttpGet.h
+++ b/src/Transport/HttpGet.h
@@ -29,6 +29,9 @@
   /// Capacity of the host's link in bytes per second, used to pace large bodies
   /// so that other traffic keeps part of the link; 0 disables pacing.
   double LinkRate_ = 0;
+  /// Called on a thread of the io_context whenever a part of the response was
+  /// received; may be empty.
+  std::function<void()> OnProgress_ = {};
 };
 
 /// Rate in bytes per second at which a body of Size bytes is read from a link
