--- a/src/Node/OwnTarget.cpp
+++ b/src/Node/OwnTarget.cpp
@@ -6,6 +6,8 @@
                                    std::string_view Service) {
   if (Own.Service_.empty() || Own.Service_ != Service)
     return ErrorCode::WrongService;
+  if (Own.Unlisted_)
+    return ErrorCode::TargetUnlisted;
   if (Own.Leaving_)
     return ErrorCode::Draining;
   return std::nullopt;
--- a/src/Node/TargetProxy.cpp
+++ b/src/Node/TargetProxy.cpp
@@ -102,8 +102,6 @@
   OwnTarget Own = ownTarget();
   if (auto Code = refusalBy(Own, Start.Service_))
     return fail(*Code, Own.Service_);
-  if (Own.Unlisted_)
-    return fail(ErrorCode::TargetUnlisted);
   if (!Current || Parts_.Environment_.gate() != CallGate::Open)
     return fail(ErrorCode::NotReady);
   if (Start.Routed_) {
--- a/unittests/Node/WaitingCallTest.cpp
+++ b/unittests/Node/WaitingCallTest.cpp
@@ -2,6 +2,7 @@
 // while the target beside the node changes.
 
 #include "MeshFixture.h"
+#include "TestSeed.h"
 
 #include <doctest/doctest.h>
 
@@ -19,8 +20,15 @@
     View_.HeaderNames_.ExpectedInstance_ = "x-instance";
     configure(1, 8);
     Target_ = std::make_unique<FakeTarget>(
-        Threads_.Io_,
-        [this](const HttpRequest &, std::shared_ptr<HttpExchange> Exchange) {
+        Threads_.Io_, [this](const HttpRequest &Request,
+                             std::shared_ptr<HttpExchange> Exchange) {
+          // The names of services begin the paths and instances of a test that
+          // uses several.
+          std::string_view Instance =
+              transport::findHeader(Request.Headers_, "x-instance");
+          if (!Instance.starts_with("i-") &&
+              !Instance.starts_with(Request.Target_.substr(1)))
+            ++Misdirected_;
           std::lock_guard Lock(Mutex_);
           Held_.push_back(std::move(Exchange));
         });
@@ -61,6 +69,17 @@
     REQUIRE(eventually([&] { return Node_->Target_->load().Queued_ == 1; }));
   }
 
+  /// Sends one booking that runs and one that has a slot and waits for the
+  /// connection.
+  void fillSlotAndConnections() {
+    configure(2, 1);
+    Node_->Target_->onOwnTarget(Own_);
+    Running_.emplace(book());
+    REQUIRE(eventually([&] { return Target_->Runs_ == 1; }));
+    Waiting_.emplace(book());
+    REQUIRE(eventually([&] { return Node_->Target_->load().Running_ == 2; }));
+  }
+
   /// Answers all requests that the target holds.
   void answerHeld() {
     std::lock_guard Lock(Mutex_);
@@ -69,6 +88,11 @@
     Held_.clear();
   }
 
+  std::size_t heldCount() {
+    std::lock_guard Lock(Mutex_);
+    return Held_.size();
+  }
+
   /// Checks that the waiting booking was refused while the other one still
   /// runs, and that it does not run when the slot becomes free either.
   void checkWaitingIsRefused() {
@@ -86,6 +110,8 @@
   OwnTarget Own_;
   std::optional<RawConnection> Running_;
   std::optional<RawConnection> Waiting_;
+  /// Requests that expected an instance of another service.
+  std::atomic<int> Misdirected_ = 0;
   std::mutex Mutex_;
   std::vector<std::shared_ptr<HttpExchange>> Held_;
 };
@@ -109,18 +135,48 @@
     WaitingCallFixture,
     "call that waits for a connection is refused when another service takes "
     "over") {
-  configure(2, 1);
-  Node_->Target_->onOwnTarget(Own_);
-  Running_.emplace(book());
-  REQUIRE(eventually([&] { return Target_->Runs_ == 1; }));
-  Waiting_.emplace(book());
-  REQUIRE(eventually([&] { return Node_->Target_->load().Running_ == 2; }));
+  fillSlotAndConnections();
   Own_.Service_ = "board";
   Own_.Instance_ = "i-2";
   Node_->Target_->onOwnTarget(Own_);
   checkWaitingIsRefused();
 }
 
+// Guards against sending queued requests to a target that is leaving without
+// having reported so: only its entry is removed, and it ends some seconds
+// later.
+TEST_CASE_FIXTURE(WaitingCallFixture,
+                  "queued call is refused when the target's entry is removed") {
+  fillSlotAndQueue();
+  Own_.Instance_.clear();
+  Own_.Unlisted_ = true;
+  Node_->Target_->onOwnTarget(Own_);
+  checkWaitingIsRefused();
+}
+
+// Guards against the same behind the queue, where a request waits for a
+// connection.
+TEST_CASE_FIXTURE(
+    WaitingCallFixture,
+    "call that waits for a connection is refused when the target's entry is "
+    "removed") {
+  fillSlotAndConnections();
+  Own_.Instance_.clear();
+  Own_.Unlisted_ = true;
+  Node_->Target_->onOwnTarget(Own_);
+  checkWaitingIsRefused();
+}
+
+// Guards against the same for a target that reports that it is leaving.
+TEST_CASE_FIXTURE(WaitingCallFixture,
+                  "call that waits for a connection is refused when the target "
+                  "is leaving") {
+  fillSlotAndConnections();
+  Own_.Leaving_ = true;
+  Node_->Target_->onOwnTarget(Own_);
+  checkWaitingIsRefused();
+}
+
 // Guards against refusing queued requests that the next instance of the same
 // service may run.
 TEST_CASE_FIXTURE(WaitingCallFixture,
@@ -135,4 +191,62 @@
   CHECK(statusOf(Waiting_->receiveHttp()) == 200);
 }
 
+// Guards against any order of changes of the target, free slots and new calls
+// in which a request starts on a target that must not run it: one of another
+// service, one that is leaving or one whose entry was removed.
+TEST_CASE("random changes of the target start only what it may run") {
+  forEachSeed(20, [](Random &Rng) {
+    WaitingCallFixture Mesh;
+    Mesh.configure(1 + static_cast<std::uint32_t>(Rng.below(3)),
+                   1 + static_cast<std::uint32_t>(Rng.below(3)));
+    TargetProxy &Proxy = *Mesh.Node_->Target_;
+    std::atomic<int> Open = 0;
+    auto Call = [&] {
+      CallStart Start;
+      Start.Service_ = Rng.chance(0.5) ? "desk" : "board";
+      Start.Method_ = "POST";
+      Start.Path_ = "/" + Start.Service_;
+      Start.Routed_ = true;
+      Start.Remaining_ = Start.Objective_ = TestTimeout;
+      ++Open;
+      Proxy.callLocal(std::move(Start), nullptr,
+                      [&](const transport::StreamResult &) { --Open; });
+    };
+    auto Change = [&](int Step) {
+      Mesh.Own_ = {};
+      Mesh.Own_.Service_ = Rng.chance(0.7) ? "desk" : "board";
+      Mesh.Own_.Unlisted_ = Rng.chance(0.2);
+      Mesh.Own_.Leaving_ = !Mesh.Own_.Unlisted_ && Rng.chance(0.2);
+      if (!Mesh.Own_.Unlisted_)
+        Mesh.Own_.Instance_ = Mesh.Own_.Service_ + std::to_string(Step);
+      Proxy.onOwnTarget(Mesh.Own_);
+    };
+    for (int Step = 0; Step < 60; ++Step) {
+      if (Rng.chance(0.6))
+        Call();
+      else if (Rng.chance(0.5))
+        Mesh.answerHeld();
+      else
+        Change(Step);
+      if (!Mesh.Own_.Unlisted_ && !Mesh.Own_.Leaving_)
+        continue;
+      // What waited is refused, so that only the runs at the target are left.
+      REQUIRE(eventually([&] {
+        LoadReport Load = Proxy.load();
+        return Load.Queued_ == 0 && Load.Running_ == Mesh.heldCount();
+      }));
+      int Runs = Mesh.Target_->Runs_;
+      Call();
+      Mesh.answerHeld();
+      REQUIRE(eventually([&] { return Open == 0; }));
+      CHECK(Mesh.Target_->Runs_ == Runs);
+    }
+    REQUIRE(eventually([&] {
+      Mesh.answerHeld();
+      return Open == 0;
+    }));
+    CHECK(Mesh.Misdirected_ == 0);
+  });
+}
+
 } // namespace marigold::node
