--- a/src/Transport/HttpClientConnection.cpp
+++ b/src/Transport/HttpClientConnection.cpp
@@ -116,7 +116,7 @@
 void HttpClientConnection::send(const HttpClientRequest &Request,
                                 Done Callback) {
   Done_ = std::move(Callback);
-  Used_ = true;
+  ++Requests_;
   Written_ = false;
   Discarded_ = 0;
   HeadMethod_ = Request.Method_ == "HEAD";
@@ -211,7 +211,7 @@
       Parser_->is_header_done() && Parser_->need_eof()) {
     boost::system::error_code Ended;
     Parser_->put_eof(Ended);
-    if (!Ended && Parser_->is_done()) {
+    if (!Ended && Parser_->is_done() && belongsToRequest()) {
       complete();
       return;
     }
@@ -276,9 +276,11 @@
   if (EchoField_.empty())
     return true;
   auto Position = Parser_->get().find(EchoField_);
-  // The target may omit the field if it refuses the request before reading it.
+  // A target may omit the field if it refuses the request before reading it. On
+  // a connection that carried an earlier request, such a response may as well
+  // be a second copy of the earlier one.
   if (Position == Parser_->get().end())
-    return true;
+    return Requests_ == 1;
   return std::string_view(Position->value().data(), Position->value().size()) ==
          EchoValue_;
 }
@@ -304,7 +306,8 @@
   auto Response = std::make_unique<HttpResponse>();
   auto &Head = Parser_->get();
   bool Reusable = Parser_->keep_alive() && !Parser_->need_eof() && !Writing_ &&
-                  Buffer_.size() == 0 && Head.result_int() != 101;
+                  Buffer_.size() == 0 && Head.result_int() != 101 &&
+                  (EchoField_.empty() || Head.count(EchoField_) != 0);
   updateIdleLimit();
   Response->Status_ = Head.result_int();
   Response->Headers_ = endToEndFields(Head);
--- a/src/Transport/HttpClientConnection.h
+++ b/src/Transport/HttpClientConnection.h
@@ -43,7 +43,7 @@
   bool isUsable();
 
   /// Whether a request has been sent on this connection.
-  bool used() const { return Used_; }
+  bool used() const { return Requests_ != 0; }
 
   /// Idle time after which the connection must not be reused: the Keep-Alive
   /// timeout of the last response less a safety margin for network delay.
@@ -81,6 +81,8 @@
   void parse();
   void startParser();
   void complete();
+  /// Whether the parsed response answers the request in progress. All framings
+  /// of a response are checked by this function before complete is called.
   bool belongsToRequest() const;
   void updateIdleLimit();
   void end(Failure Cause, bool Lost);
@@ -100,6 +102,8 @@
   std::string EchoField_;
   std::string EchoValue_;
   Duration IdleLimit_ = Duration::max();
+  /// Requests sent on this connection.
+  unsigned Requests_ = 0;
   /// Informational responses and responses to earlier requests that were
   /// discarded since the request was sent.
   unsigned Discarded_ = 0;
@@ -107,7 +111,6 @@
   bool Writing_ = false;
   bool Written_ = false;
   bool Reading_ = false;
-  bool Used_ = false;
   bool Closed_ = false;
   Failure CloseReason_;
   TimePoint IdleSince_{};
--- a/src/Transport/HttpClientPool.cpp
+++ b/src/Transport/HttpClientPool.cpp
@@ -98,7 +98,7 @@
     while (!Waiting_.empty()) {
       JobPtr Task = Waiting_.front();
       ConnectionPtr Connection;
-      if (!Task->Resent_)
+      if (!Task->Resent_ && !lacksEcho(Task->Request_))
         Connection =
             takeIdle(Task->Request_.Repeatable_ ? Limits_.Idle_
                                                 : Limits_.UnrepeatableIdle_);
@@ -114,6 +114,12 @@
     }
   }
 
+  /// Whether nothing would tell the response to this request from a second copy
+  /// of an earlier one.
+  static bool lacksEcho(const HttpClientRequest &Request) {
+    return !Request.EchoField_.empty() && Request.EchoValue_.empty();
+  }
+
   /// Returns the most recently used idle connection, so that surplus
   /// connections reach the idle limit and are closed. Returns null if it has
   /// been idle for longer than MaxIdle.
--- a/src/Transport/HttpClientPool.h
+++ b/src/Transport/HttpClientPool.h
@@ -29,7 +29,9 @@
   TimePoint Deadline_{};
   /// Lower-case name and value of a header field that the target copies from
   /// the request into its response. A response with a different value belongs
-  /// to an earlier request and is discarded. An empty name disables the check.
+  /// to an earlier request and is discarded. Without the field, a response is
+  /// accepted only on a new connection, which is then not reused; a request
+  /// without a value gets a new connection. An empty name disables the check.
   std::string EchoField_ = {};
   std::string EchoValue_ = {};
   /// Called on the strand of the pool immediately before each write of the
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -421,6 +421,123 @@
   CHECK(Value->Response_->Body_ == "ok");
 }
 
+namespace {
+
+/// A second response on a kept connection that does not belong to the request
+/// in progress.
+struct Surplus {
+  std::string Name_;
+  std::string Head_;
+};
+
+const std::vector<Surplus> Surpluses{
+    {"copy of an earlier answer", "HTTP/1.1 200 OK\r\nX-Id: first\r\n"},
+    {"copy of an earlier refusal",
+     "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Id: first\r\n"},
+    {"answer without identifier", "HTTP/1.1 200 OK\r\n"},
+    {"refusal without identifier", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n"},
+    {"misdirected request without identifier",
+     "HTTP/1.1 421 Misdirected Request\r\n"},
+    {"answer with an empty identifier", "HTTP/1.1 200 OK\r\nX-Id: \r\n"},
+};
+
+/// Framing of the surplus response's body.
+struct Framing {
+  std::string Name_;
+  std::string Rest_;
+  /// The body ends with the connection.
+  bool Closes_ = false;
+};
+
+const std::vector<Framing> Framings{
+    {"length", "Content-Length: 5\r\n\r\nstale"},
+    {"no body", "Content-Length: 0\r\n\r\n"},
+    {"chunks", "Transfer-Encoding: chunked\r\n\r\n5\r\nstale\r\n0\r\n\r\n"},
+    {"until close", "\r\nstale", true},
+    {"until close, announced", "Connection: close\r\n\r\nstale", true},
+};
+
+const std::string Second =
+    "HTTP/1.1 200 OK\r\nX-Id: second\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+// Guards against a caller that gets the answer to another request, or is told
+// by a repeated refusal that its request did not run. The target has kept the
+// connection from an earlier request and sends a surplus response before the
+// one that is due, in each framing.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "http client takes no surplus response in any framing") {
+  HttpClientLimits Limits;
+  Limits.UnrepeatableIdle_ = std::chrono::minutes(1);
+  pool(Limits);
+  auto Send = [&](const std::string &Id, Waiter<HttpClientResult> &Got) {
+    HttpClientRequest Request;
+    Request.Method_ = "POST";
+    Request.Target_ = "/a";
+    Request.Deadline_ = std::chrono::steady_clock::now() + TestTimeout;
+    Request.EchoField_ = "x-id";
+    Request.EchoValue_ = Id;
+    pool().send(std::move(Request),
+                [&Got](HttpClientResult Value) { Got.set(std::move(Value)); });
+  };
+  for (const Surplus &Extra : Surpluses)
+    for (const Framing &Body : Framings) {
+      CAPTURE(Extra.Name_);
+      CAPTURE(Body.Name_);
+      Waiter<HttpClientResult> Got;
+      Send("first", Got);
+      RawConnection Target = Listener_.accept();
+      Target.receiveHttp();
+      Target.send("HTTP/1.1 200 OK\r\nX-Id: first\r\n"
+                  "Content-Length: 2\r\n\r\nok");
+      CHECK_FALSE(failureOf(Got));
+      Send("second", Got);
+      REQUIRE(!Target.receiveHttp().empty());
+      Target.send(Extra.Head_ + Body.Rest_);
+      if (Body.Closes_) {
+        Target.finishSending();
+        auto Failed = failureOf(Got);
+        REQUIRE(Failed);
+        CHECK(Failed->Written_);
+        continue;
+      }
+      Target.send(Second);
+      auto Value = Got.take();
+      REQUIRE(Value);
+      REQUIRE(Value->Response_);
+      CHECK(Value->Response_->Status_ == 200);
+      CHECK(Value->Response_->Body_ == "ok");
+      pool().closeIdle();
+      CHECK(Target.endsSilently());
+    }
+}
+
+// Guards against keeping a connection on which the next response could not be
+// attributed: the target did not repeat the identifier, or there was none.
+TEST_CASE_FIXTURE(
+    HttpClientFixture,
+    "http client without echoed identifier reuses no connection") {
+  for (const std::string Id : {"first", ""}) {
+    CAPTURE(Id);
+    Waiter<HttpClientResult> Got;
+    HttpClientRequest Request;
+    Request.Method_ = "GET";
+    Request.Target_ = "/a";
+    Request.Repeatable_ = true;
+    Request.Deadline_ = std::chrono::steady_clock::now() + TestTimeout;
+    Request.EchoField_ = "x-id";
+    Request.EchoValue_ = Id;
+    pool().send(std::move(Request),
+                [&Got](HttpClientResult Value) { Got.set(std::move(Value)); });
+    RawConnection Target = Listener_.accept();
+    Target.receiveHttp();
+    Target.send(Good);
+    CHECK_FALSE(failureOf(Got));
+    CHECK(Target.endsSilently());
+  }
+}
+
 // Guards against executing a request twice when its response is lost late, and
 // against opening a new connection for each request that must not be repeated.
 TEST_CASE_FIXTURE(HttpClientFixture,
