--- a/src/Node/CallerCall.h
+++ b/src/Node/CallerCall.h
@@ -49,6 +49,9 @@
   CallerProxyParts Parts_;
   CallerPools Pools_;
   CallLogLimiter LogLimiter_;
+  /// Set when the process is about to exit and could no longer wait for the
+  /// answers to further calls.
+  std::atomic<bool> RefusesNewCalls_ = false;
 
   /// Registry of calls that have not been answered yet.
   void addOpen(const std::shared_ptr<CallerCall> &Call);
--- a/src/Node/CallerProxy.cpp
+++ b/src/Node/CallerProxy.cpp
@@ -5,6 +5,7 @@
 
 #include "Config/Limits.h"
 #include "Config/Snapshot.h"
+#include "Support/Log.h"
 
 namespace marigold::node {
 
@@ -55,6 +56,10 @@
   static void onRequest(const std::shared_ptr<CallerContext> &Context,
                         HttpRequest Request,
                         std::shared_ptr<HttpExchange> Exchange) {
+    if (Context->RefusesNewCalls_) {
+      refuseWhileStopping(*Context, Request, *Exchange);
+      return;
+    }
     if (Request.Target_.starts_with(ReservedPathPrefix)) {
       handleReservedPath(Context, Request, std::move(Exchange));
       return;
@@ -64,6 +69,20 @@
         ->start();
   }
 
+  static void refuseWhileStopping(CallerContext &Context,
+                                  const HttpRequest &Request,
+                                  HttpExchange &Exchange) {
+    if (Context.LogLimiter_.admits(true, std::chrono::steady_clock::now()))
+      logEvent(LogLevel::Warning, "call_ended",
+               {{"id", std::string(transport::findHeader(
+                           Request.Headers_,
+                           Context.Parts_.HeaderNames_.RequestId_))},
+                {"route", Request.Host_ + Request.Target_},
+                {"outcome", std::string(outcomeText(Outcome::NotRun))},
+                {"reason", std::string(errorText(ErrorCode::Draining))}});
+    Context.refuseWithoutService(Exchange, ErrorCode::Draining);
+  }
+
   static bool isRepeatable(const CallerContext &Context,
                            const HttpRequest &Line) {
     auto Snapshot = Context.Parts_.Environment_.snapshot();
@@ -118,6 +137,12 @@
 
 void CallerProxy::drain() { Impl_->Server_.drain(); }
 
+void CallerProxy::refuseNewCalls() { Impl_->Context_->RefusesNewCalls_ = true; }
+
+std::size_t CallerProxy::busyConnectionCount() const {
+  return Impl_->Server_.busyConnections();
+}
+
 void CallerProxy::answerOpenCalls() {
   for (const auto &Call : Impl_->Context_->openCalls())
     Call->onShutdown();
--- a/src/Node/CallerProxy.h
+++ b/src/Node/CallerProxy.h
@@ -59,6 +59,13 @@
   /// Stops accepting connections; requests in progress are still answered.
   void drain();
 
+  /// Refuses all further requests as not run.
+  void refuseNewCalls();
+
+  /// Number of connections of callers that would be cut off by an exit now: a
+  /// request is being received on them, or an answer is awaited or being sent.
+  std::size_t busyConnectionCount() const;
+
   /// Answers all open requests because the process is about to exit: requests
   /// that were not sent as not-run, the others as unknown.
   void answerOpenCalls();
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -256,6 +256,11 @@
               CallerPortClosed_ = true;
           });
     });
+    TakingTimer_.expires_after(takingLimit());
+    TakingTimer_.async_wait([this](const boost::system::error_code &Error) {
+      if (!Error)
+        Caller_.refuseNewCalls();
+    });
     DrainTimer_.expires_after(drainLimit());
     DrainTimer_.async_wait([this](const boost::system::error_code &Error) {
       if (Error)
@@ -277,10 +282,23 @@
     return std::min<Duration>(Settings_.DrainLimit_, Usable);
   }
 
-  /// Exits once the caller port is closed and all calls that callers made
-  /// through this node, which may still run on other hosts, have ended.
+  /// Returns the time after the start of draining for which calls of callers
+  /// are still taken. The other half of the time to exit is left for the calls
+  /// to end.
+  Duration takingLimit() const {
+    Duration Limit = Settings_.DrainLimit_;
+    if (Settings_.StopGrace_.count() != 0)
+      Limit = std::min<Duration>(Limit, Settings_.StopGrace_);
+    return Limit / 2;
+  }
+
+  /// Exits once the caller port is closed, all calls that callers made through
+  /// this node, which may still run on other hosts, have ended. A connection on
+  /// which a request is arriving or an answer is being sent, to a caller or to
+  /// another node, also keeps the process.
   void exitWhenIdle() {
-    if (CallerPortClosed_ && Caller_.openCallCount() == 0) {
+    if (CallerPortClosed_ && Caller_.openCallCount() == 0 &&
+        Caller_.busyConnectionCount() == 0 && Server_.openStreams() == 0) {
       beginExit();
       return;
     }
@@ -294,8 +312,11 @@
   void beginExit() {
     if (Finished_.exchange(true))
       return;
-    logEvent(LogLevel::Info, "node_exits");
+    logEvent(LogLevel::Info, "node_exits",
+             {{"busy", std::to_string(Caller_.busyConnectionCount())}});
     DrainTimer_.cancel();
+    // A call that is taken from here on would be cut off.
+    Caller_.refuseNewCalls();
     Control_.stop(true);
     PollTimer_.expires_after(ExitDelay);
     PollTimer_.async_wait(
@@ -322,6 +343,7 @@
   boost::asio::steady_timer SettingsTimer_{SettingsStrand_};
   boost::asio::steady_timer CallerPortTimer_{Io_};
   boost::asio::steady_timer DrainTimer_;
+  boost::asio::steady_timer TakingTimer_{Io_};
   boost::asio::steady_timer PollTimer_{Io_};
   ControlPlane Control_;
   TargetProxy Target_;
--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -49,8 +49,8 @@
   void accept(tcp::socket Socket) {
     if (*Open_ >= Options_->Connections_)
       return;
-    auto Connection = std::make_shared<HttpServerConnection>(std::move(Socket),
-                                                             Options_, Open_);
+    auto Connection = std::make_shared<HttpServerConnection>(
+        std::move(Socket), Options_, Open_, Busy_);
     {
       std::lock_guard Lock(Mutex_);
       if (Stopped_)
@@ -135,6 +135,8 @@
   const std::shared_ptr<const HttpServerOptions> Options_;
   std::shared_ptr<std::atomic<std::size_t>> Open_ =
       std::make_shared<std::atomic<std::size_t>>(0);
+  std::shared_ptr<std::atomic<std::size_t>> Busy_ =
+      std::make_shared<std::atomic<std::size_t>>(0);
   std::vector<std::weak_ptr<HttpServerConnection>> Connections_;
   bool Stopped_ = false;
   std::atomic<bool> Draining_ = false;
@@ -155,6 +157,8 @@
 
 void HttpServer::drain() { Impl_->drain(); }
 
+std::size_t HttpServer::busyConnections() const { return *Impl_->Busy_; }
+
 void HttpServer::stop() { Impl_->stop(); }
 
 } // namespace marigold::transport
--- a/src/Transport/HttpServer.h
+++ b/src/Transport/HttpServer.h
@@ -83,6 +83,11 @@
   /// Requests in progress are answered before their connections are closed.
   void drain();
 
+  /// Number of connections on which a request is being received, a response is
+  /// awaited or being sent, or that have not been closed by their client after
+  /// the last response. Closing one of them would cut off its client.
+  std::size_t busyConnections() const;
+
   /// Stops accepting and closes all connections.
   void stop();
 
--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -85,13 +85,18 @@
 
 HttpServerConnection::HttpServerConnection(
     tcp::socket Socket, std::shared_ptr<const HttpServerOptions> Options,
-    std::shared_ptr<std::atomic<std::size_t>> Open)
+    std::shared_ptr<std::atomic<std::size_t>> Open,
+    std::shared_ptr<std::atomic<std::size_t>> Busy)
     : Socket_(std::move(Socket)), Options_(std::move(Options)),
-      Open_(std::move(Open)), Deadline_(NoDeadline) {
+      Open_(std::move(Open)), Busy_(std::move(Busy)), Deadline_(NoDeadline) {
   ++*Open_;
 }
 
-HttpServerConnection::~HttpServerConnection() { --*Open_; }
+HttpServerConnection::~HttpServerConnection() {
+  --*Open_;
+  if (CountedBusy_)
+    --*Busy_;
+}
 
 void HttpServerConnection::start() {
   asio::dispatch(Socket_.get_executor(), [Self = shared_from_this()] {
@@ -113,6 +118,13 @@
 void HttpServerConnection::updateDeadline() {
   Deadline_ =
       std::min(ReceiveDeadline_, WriteDeadline_).time_since_epoch().count();
+  updateBusy();
+}
+
+void HttpServerConnection::updateBusy() {
+  bool Busy = Phase_ != Phase::Closed && (Phase_ != Phase::Head || !isIdle());
+  if (std::exchange(CountedBusy_, Busy) != Busy)
+    *Busy_ += Busy ? 1 : std::size_t(-1);
 }
 
 void HttpServerConnection::read() {
--- a/src/Transport/HttpServerConnection.h
+++ b/src/Transport/HttpServerConnection.h
@@ -85,10 +85,12 @@
 class HttpServerConnection
     : public std::enable_shared_from_this<HttpServerConnection> {
 public:
-  /// Options are shared with the server. Open counts the open connections.
+  /// Options are shared with the server. Open counts the open connections, Busy
+  /// those of HttpServer::busyConnections.
   HttpServerConnection(boost::asio::ip::tcp::socket Socket,
                        std::shared_ptr<const HttpServerOptions> Options,
-                       std::shared_ptr<std::atomic<std::size_t>> Open);
+                       std::shared_ptr<std::atomic<std::size_t>> Open,
+                       std::shared_ptr<std::atomic<std::size_t>> Busy);
   ~HttpServerConnection();
   HttpServerConnection(const HttpServerConnection &) = delete;
   HttpServerConnection &operator=(const HttpServerConnection &) = delete;
@@ -154,6 +156,8 @@
   void writeNext();
   void onWritten(boost::system::error_code Error);
   void beginPhase(Phase Next, std::optional<Duration> Limit);
+  /// Adds this connection to the count of busy ones or removes it.
+  void updateBusy();
   void updateDeadline();
   void onTimeout(TimePoint Now);
   void shutDown();
@@ -161,6 +165,7 @@
   boost::asio::ip::tcp::socket Socket_;
   const std::shared_ptr<const HttpServerOptions> Options_;
   const std::shared_ptr<std::atomic<std::size_t>> Open_;
+  const std::shared_ptr<std::atomic<std::size_t>> Busy_;
   // Separate from Buffer_, because a read is pending while Buffer_ is consumed.
   std::array<char, 8192> Input_;
   boost::beast::flat_buffer Buffer_;
@@ -182,6 +187,7 @@
   bool HeadMethod_ = false;
   bool Draining_ = false;
   bool Advancing_ = false;
+  bool CountedBusy_ = false;
   /// Time limits of receiving, or of being idle, and of sending.
   TimePoint ReceiveDeadline_ = TimePoint::max();
   TimePoint WriteDeadline_ = TimePoint::max();
--- a/src/Transport/PeerLink.cpp
+++ b/src/Transport/PeerLink.cpp
@@ -386,6 +386,7 @@
   Writing_ = false;
   if (Closed_)
     return;
+  updateStreamCount();
   if (Error) {
     shutDown(marigold::fail(ErrorCode::ConnectionFailed, Error.message()));
     return;
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -80,6 +80,13 @@
                     [](const auto &Link) { return Link->isOpen(); }));
 }
 
+std::size_t PeerServer::openStreams() const {
+  std::size_t Count = 0;
+  for (const auto &Link : Impl_->links())
+    Count += Link->streams();
+  return Count;
+}
+
 void PeerServer::stop() {
   Impl_->Listener_.stop();
   for (const auto &Link : Impl_->links())
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -32,6 +32,10 @@
   /// Number of connections whose handshake is complete.
   std::size_t connections() const;
 
+  /// Number of calls of connected nodes that run here or whose answers are
+  /// still being sent.
+  std::size_t openStreams() const;
+
   /// Stops accepting and closes all connections.
   void stop();
 
--- a/unittests/Node/RoutedCallTest.cpp
+++ b/unittests/Node/RoutedCallTest.cpp
@@ -230,6 +230,21 @@
   CHECK(fieldOf(Answer, "x-marigold-outcome") == "unknown");
 }
 
+// Guards against passing on a call that the exit of the process would cut off.
+TEST_CASE_FIXTURE(RoutedCallFixture,
+                  "call that a stopping node takes no more is refused as not "
+                  "run") {
+  TestNode &Node = addTarget(nullptr);
+  RawConnection Kept(Node.callerPort());
+  Node.Callers_->refuseNewCalls();
+  Kept.send("POST /visits/9 HTTP/1.1\r\nHost: book.example\r\n"
+            "X-Id: q1\r\nContent-Length: 0\r\n\r\n");
+  std::string Answer = Kept.receiveHttp();
+  CHECK(statusOf(Answer) == 503);
+  CHECK(fieldOf(Answer, "x-marigold-outcome") == "not-run");
+  CHECK(runs() == 0);
+}
+
 namespace {
 
 /// A target that serves its connections itself, so that it can break off.
--- a/unittests/Transport/HttpServerTest.cpp
+++ b/unittests/Transport/HttpServerTest.cpp
@@ -484,4 +484,39 @@
   CHECK(statusOf(Second.receiveAll()) == 200);
 }
 
+// Guards against an exit while a client sends a request, waits for its response
+// or still reads it.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "http server counts the connections that are in use") {
+  auto Becomes = [this](std::size_t Count) {
+    return eventually([&] { return Server_->busyConnections() == Count; });
+  };
+  RawConnection Client = connect();
+  CHECK(Becomes(0));
+  Client.send("POST /a HTT");
+  CHECK(Becomes(1));
+  Client.send("P/1.1\r\nHost: desk\r\nContent-Length: 2\r\n\r\nh");
+  CHECK(Becomes(1));
+  Client.send("i");
+  CHECK(bodyOf(Client.receiveHttp()) == "/a|desk|hi");
+  CHECK(Becomes(0));
+  Client.send("GET /held HTTP/1.1\r\nHost: desk\r\n\r\n");
+  auto Exchange = Held_.take();
+  REQUIRE(Exchange);
+  CHECK(Server_->busyConnections() == 1);
+  // More than the buffers of both sockets hold.
+  HttpResponse Large;
+  Large.Body_.assign(std::size_t{32} * 1024 * 1024, 'x');
+  std::size_t Size = Large.Body_.size();
+  (*Exchange)->respond(std::move(Large));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  CHECK(Server_->busyConnections() == 1);
+  CHECK(bodyOf(Client.receiveHttp()).size() == Size);
+  CHECK(Becomes(0));
+  Client.send("GET /b HTTP/1.1\r\nHost: desk\r\nConnection: close\r\n\r\n");
+  CHECK(bodyOf(Client.receiveHttp()) == "/b|desk|");
+  Client.close();
+  CHECK(Becomes(0));
+}
+
 } // namespace marigold::transport
--- a/unittests/Transport/PeerConnectionTest.cpp
+++ b/unittests/Transport/PeerConnectionTest.cpp
@@ -353,4 +353,36 @@
   CHECK(eventually([&] { return Served_.Closed_ == 1; }));
 }
 
+// Guards against an exit that cuts off an answer which another node is still
+// receiving after the run has ended.
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer server counts an answer until it is sent") {
+  Served_.OnCall_ = [](const PeerConnectionPtr &Connection,
+                       const CallStart &Start, const std::string &) {
+    Connection->reply(Start.Stream_, {}, std::string(400'000, 'x'), {});
+  };
+  RawPeer Peer = rawClient();
+  CallStart Start = startWithBody(1, 0);
+  Peer.send(Start);
+  Peer.send(CallEnd{1});
+  // The peer grants no credit, so the answer stops at the window.
+  std::size_t Received = 0;
+  while (Received < PeerLimits().Window_) {
+    std::string Frame = Peer.next();
+    REQUIRE(!Frame.empty());
+    if (static_cast<MessageType>(Frame[0]) == MessageType::ReplyData)
+      Received += decodeBody<ReplyData>(std::string_view(Frame).substr(1))
+                      .value()
+                      .Data_.size();
+  }
+  CHECK(Server_->openStreams() == 1);
+  Peer.send(WindowUpdate{1, 200'000});
+  std::string Frame;
+  do {
+    Frame = Peer.next();
+    REQUIRE(!Frame.empty());
+  } while (static_cast<MessageType>(Frame[0]) != MessageType::ReplyEnd);
+  CHECK(eventually([&] { return Server_->openStreams() == 0; }));
+}
+
 } // namespace marigold::transport
