Soak: slow callers during planned stops, targets that send without end

Eight callers a host send each request in two parts, so that requests become complete at any moment of a planned stop. New checks: peak memory of each node against that of the smallest hosts (88 MB), nodes that end by themselves. The recorded seeds keep their schedules.

--- a/tools/lib/fault_proxy.py
+++ b/tools/lib/fault_proxy.py
@@ -9,11 +9,24 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+# Starts of responses that are followed by bytes without end.
+ENDLESS = {
+    "head": b"HTTP/1.1 200 OK\r\nX-Field: ",
+    "fields": b"HTTP/1.1 200 OK\r\n",
+    "body": b"HTTP/1.1 200 OK\r\n\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+ENDLESS_BLOCKS = {"fields": b"X-Field: 1\r\n" * 4096,
+                  "chunks": b"400\r\n" + b"x" * 1024 + b"\r\n"}
+
+
 class Link:
     """One proxied address.
 
     The delay is in seconds. A direction that is cut accepts bytes but does not
-    forward them; with both directions cut the link is silent.
+    forward them; with both directions cut the link is silent. With a kind of
+    ENDLESS set, each answer is replaced by bytes that end only when the
+    receiver closes the connection.
     """
 
     def __init__(self, proxy, listen, forward):
@@ -23,6 +36,7 @@
         self.delay = 0.0
         self.cut_requests = False
         self.cut_answers = False
+        self.endless = None
         self.writers = set()
 
     def clear_fault(self):
@@ -31,8 +45,9 @@
         The bytes received during a cut are lost, so all open
         connections are reset when the cut ends.
         """
-        was_cut = self.cut_requests or self.cut_answers
+        was_cut = self.cut_requests or self.cut_answers or self.endless
         self.delay = 0.0
+        self.endless = None
         self.cut_requests = self.cut_answers = False
         if was_cut:
             self.reset()
@@ -60,7 +75,8 @@
         try:
             await asyncio.gather(
                 self.pump(reader, upstream_writer, lambda: self.cut_requests),
-                self.pump(upstream_reader, writer, lambda: self.cut_answers))
+                self.pump(upstream_reader, writer, lambda: self.cut_answers,
+                          answers=True))
         except OSError:
             pass  # One side closed its connection; both are closed below.
         finally:
@@ -68,8 +84,17 @@
             writer.close()
             upstream_writer.close()
 
-    async def pump(self, reader, writer, is_cut):
+    async def flood(self, writer, kind):
+        writer.write(ENDLESS[kind])
+        while self.endless and not writer.is_closing():
+            writer.write(ENDLESS_BLOCKS.get(kind, b"x" * 16384))
+            await writer.drain()
+
+    async def pump(self, reader, writer, is_cut, answers=False):
         while data := await reader.read(65536):
+            if answers and self.endless:
+                await self.flood(writer, self.endless)
+                break
             if self.delay:
                 await asyncio.sleep(self.delay)
             if not is_cut():
--- a/tools/lib/soak.py
+++ b/tools/lib/soak.py
@@ -15,6 +15,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -28,6 +29,7 @@
 REGRESSIONS = pathlib.Path(__file__).with_name("soak_regressions.txt")
 HOSTS, DOMAINS = 6, 3
 PROXIED_CALLER_PORT, PROXIED_TARGET_PORT = 7481, 8081
+SLOW_CALLERS = 8  # For each host.
 RATE = 150  # Calls per second; less than half the capacity of the targets.
 # Time within which a node exits after a signal (setting drain-limit).
 STOP_SECONDS = 30
@@ -37,16 +39,23 @@
 # the machine.
 SETTLE_SECONDS = 20
 PLANNED_EVENTS = ["drain", "publish", "hangup"]
-FAULT_EVENTS = ["kill-node", "kill-target", "pause-node", "pause-target",
-                "drain", "publish", "source-down", "source-cut", "delay",
-                "cut-requests", "cut-answers", "silence", "reset"]
+# The events of the recorded seeds, whose schedules depend on this list.
+RECORDED_FAULT_EVENTS = ["kill-node", "kill-target", "pause-node",
+                         "pause-target", "drain", "publish", "source-down",
+                         "source-cut", "delay", "cut-requests", "cut-answers",
+                         "silence", "reset"]
+FAULT_EVENTS = RECORDED_FAULT_EVENTS + ["endless-head", "endless-fields",
+                                        "endless-body", "endless-chunks"]
 LINKS = ["callers", "target"]
 # Counters of violated guarantees; the soak fails if any of them is not zero.
 VIOLATION_COUNTERS = ["doubled", "false_not_run", "lost_answers", "crossed",
-                      "regressions", "cut_by_drain", "not_settled"]
+                      "regressions", "cut_by_drain", "not_settled",
+                      "over_memory", "ended_alone"]
+# Memory of the smallest hosts in KB.
+MEMORY_LIMIT = 88 * 1024
 
 
-def schedule(seed, seconds):
+def schedule(seed, seconds, fault_events):
     """Returns the end of the planned phase and the events, ordered by time.
 
     An event is (time, kind, host number, link, length); times are in seconds.
@@ -56,7 +65,7 @@
     events = []
     at = 1.0
     while at < seconds - 2:
-        kinds = PLANNED_EVENTS if at < planned_end else FAULT_EVENTS
+        kinds = PLANNED_EVENTS if at < planned_end else fault_events
         length = rng.uniform(0.1, 3.0)
         events.append((round(at, 3), rng.choice(kinds),
                        rng.randrange(HOSTS), rng.choice(LINKS),
@@ -102,6 +111,30 @@
             time.sleep(0.01)
 
 
+class SlowCaller(DrainWatcher):
+    """Sends each request in two parts on a new connection. The pause between
+    them makes requests complete at any moment of a planned stop."""
+
+    def run(self):
+        rng, number = random.Random(self.name), 0
+        while not self.stopped.is_set():
+            number += 1
+            request = f"slow-{self.name}-{number}"
+            try:
+                with socket.create_connection((self.address, CALLER_PORT),
+                                              timeout=10) as connection:
+                    connection.sendall(b"GET /read HTTP/1.1\r\n"
+                                       b"Host: service-0\r\n")
+                    self.stopped.wait(rng.uniform(0, 2.5))
+                    connection.sendall(f"x-request-id: {request}\r\n"
+                                       "Connection: close\r\n\r\n".encode())
+                    if not connection.recv(65536):
+                        self.unanswered.append(request)
+            except OSError:
+                self.unanswered.append(request)
+                time.sleep(0.05)
+
+
 def handles_sighup(process):
     """Returns whether the process ignores or catches SIGHUP at this moment."""
     bit = 1 << (signal.SIGHUP - 1)
@@ -111,17 +144,25 @@
     return any(mask & bit for mask in masks)
 
 
+def peak_memory(process):
+    """Returns the peak resident memory of a process in KB; 0 if it has ended."""
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    return sum(int(line.split()[1]) for line in status.splitlines()
+               if line.startswith("VmHWM:"))
+
+
 class Soak:
     """The run of one seed."""
 
-    def __init__(self, mesh, seed, seconds, settle):
+    def __init__(self, mesh, seed, seconds, settle, fault_events):
         self.mesh, self.seed, self.seconds = mesh, seed, seconds
         self.settle = settle
-        self.planned_end, self.events = schedule(seed, seconds)
+        self.planned_end, self.events = schedule(seed, seconds, fault_events)
         self.proxy = FaultProxy()
         self.links = {}
         self.version = 1
         self.index = 0
+        self.over_memory = self.ended_alone = self.peak_memory = 0
         self.lock = threading.Lock()
 
     def start(self):
@@ -156,6 +197,7 @@
 
     def stop_node(self, host, stop):
         """Stops and restarts the node; records the restart in its adoptions."""
+        self.check_process(host)
         stop(host.node)
         try:
             host.node.wait(STOP_SECONDS)
@@ -167,6 +209,15 @@
             host.adopted.append((time.time(), None))
             self.start_node(host)
 
+    def check_process(self, host):
+        """Counts a node that has ended by itself or used too much memory."""
+        if host.node.poll() is not None:
+            self.ended_alone += 1
+            return
+        peak = peak_memory(host.node)
+        self.peak_memory = max(self.peak_memory, peak)
+        self.over_memory += peak > MEMORY_LIMIT
+
     def run_event(self, event):
         """Applies one event and, after its length, ends it.
 
@@ -222,12 +273,16 @@
 
     on_cut = on_silence = on_reset = on_delay
 
+    def on_endless(self, kind, number, _host, _link, length):
+        self.inject_link_fault(self.links["target", number], kind, length)
+
     @staticmethod
     def inject_link_fault(link, kind, length):
         if kind == "reset":
             link.reset()
             return
         link.delay = length / 10 if kind == "delay" else 0.0
+        link.endless = kind.removeprefix("endless-") if "endless" in kind else None
         link.cut_requests = kind in ("cut-requests", "silence")
         link.cut_answers = kind in ("cut-answers", "silence")
         time.sleep(length)
@@ -248,6 +303,9 @@
                               random_seed=self.seed)
         watchers = [DrainWatcher(host.ip, self.seed)
                     for host in self.mesh.hosts]
+        watchers += [SlowCaller(host.ip, f"{self.seed}.{number}")
+                     for host in self.mesh.hosts
+                     for number in range(SLOW_CALLERS)]
         for watcher in watchers:
             watcher.start()
         begin = time.monotonic()
@@ -277,6 +335,11 @@
             result["examples"] = pairs["examples"]
         result["regressions"], _ = count_regressions(self.mesh)
         result["cut_by_drain"] = self.count_executed(unanswered)
+        for host in self.mesh.hosts:
+            self.check_process(host)
+        result["peak_mb"] = self.peak_memory // 1024
+        result["over_memory"] = self.over_memory
+        result["ended_alone"] = self.ended_alone
         return result
 
     def stop_watchers(self, watchers):
@@ -311,10 +374,10 @@
         return sum(1 for request in requests if request in ran)
 
 
-def run_seed(seed, seconds, keep, settle=SETTLE_SECONDS):
+def run_seed(seed, seconds, keep, settle, fault_events):
     """Runs one seed; copies its logs and ledgers to `keep` if it fails."""
     mesh = Mesh("soak")
-    soak = Soak(mesh, seed, seconds, settle)
+    soak = Soak(mesh, seed, seconds, settle, fault_events)
     result = None
     try:
         result = soak.run()
@@ -335,7 +398,8 @@
     """Reads the recorded failed seeds: lines of "SEED SECONDS # cause"."""
     lines = [line.split("#")[0].split()
              for line in REGRESSIONS.read_text().splitlines()]
-    return [(int(line[0]), int(line[1])) for line in lines if line]
+    return [(int(line[0]), int(line[1]), RECORDED_FAULT_EVENTS)
+            for line in lines if line]
 
 
 def read_known_red():
@@ -371,17 +435,17 @@
     # Unwind on SIGTERM so that no child process is left running.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     seeds = read_regressions() if arguments.regressions else []
-    seeds += [(arguments.seed + number, arguments.seconds)
+    seeds += [(arguments.seed + number, arguments.seconds, FAULT_EVENTS)
               for number in range(arguments.seeds)]
     totals, failed, known_red = {"seeds": len(seeds)}, [], read_known_red()
-    for seed, seconds in seeds:
+    for seed, seconds, fault_events in seeds:
         if arguments.list:
-            for event in schedule(seed, seconds)[1]:
+            for event in schedule(seed, seconds, fault_events)[1]:
                 print(seed, *event)
             continue
         try:
             result = run_seed(seed, seconds, arguments.keep,
-                              arguments.settle)
+                              arguments.settle, fault_events)
         except (StepFailed, OSError) as error:
             print(f"seed {seed}: {error}", flush=True)
             failed.append(seed)
@@ -395,7 +459,9 @@
         elif violated:
             failed.append(seed)
         for key, value in result.items():
-            if isinstance(value, int):
+            if key == "peak_mb":
+                totals[key] = max(totals.get(key, 0), value)
+            elif isinstance(value, int):
                 totals[key] = totals.get(key, 0) + value
     if arguments.list:
         return 0
