Contact with the source counts for what was read

A reader that had read only the targets, after a failed watch, confirmed the source to its failure domain although its configuration might be old.

--- a/src/Distribution/SourceReader.cpp
+++ b/src/Distribution/SourceReader.cpp
@@ -152,7 +152,6 @@
       Rng_.upTo(Options_.HostsInterval_ * 2 * HostsJitterPercent / 100);
   HostsBackoff_.reset();
   TakeoverBackoff_.reset();
-  Confirmation_.confirm(Now);
 }
 
 void SourceReader::onFailure(SourceCall Call, TimePoint Now) {
--- a/src/Distribution/SourceReader.h
+++ b/src/Distribution/SourceReader.h
@@ -135,7 +135,8 @@
   /// refused.
   void onText(std::uint64_t Index, TimePoint Now);
 
-  /// Reports that the host list was read.
+  /// Reports that the host list was read. This does not confirm the source: the
+  /// list says nothing about the configuration.
   void onHosts(TimePoint Now);
 
   /// Reports a failed call; the next one is delayed by backoff.
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -33,6 +33,10 @@
                                 ControlEffects &Out) {
   detectOutageEnd(Now);
   Reader_.onHosts(Now);
+  // A list of targets without a revision was read alone; it does not show that
+  // the configuration is current.
+  if (!List.Targets_ || List.Revision_ != 0)
+    Confirmation_.confirm(Now);
   if (List.Targets_) {
     if (List.Revision_ >= Directory_.revision())
       ListConfigRevision_ = List.ConfigRevision_;
