A stopping node says unknown to a keyed call that may have run

Change: the refusal is made by the call itself, which knows its key. The queue of AdmissionControl is emptied by one function.

--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -112,23 +112,24 @@
 }
 
 AdmissionActions AdmissionControl::beginDrain(TimePoint) {
-  AdmissionActions Actions;
   Draining_ = true;
-  refuseQueue(Actions, ErrorCode::Draining);
-  return Actions;
+  return refuseQueued(ErrorCode::Draining);
 }
 
 AdmissionActions AdmissionControl::refuseQueued(ErrorCode Reason) {
   AdmissionActions Actions;
-  refuseQueue(Actions, Reason);
+  for (auto &Queue : Queues_) {
+    for (const Waiting &Entry : Queue)
+      Actions.Refuse_.push_back({Entry.Id_, Reason});
+    Queue.clear();
+  }
+  QueuedCount_ = 0;
   return Actions;
 }
 
 AdmissionActions AdmissionControl::targetDown(TimePoint) {
-  AdmissionActions Actions;
   TargetDown_ = true;
-  refuseQueue(Actions, ErrorCode::TargetDown);
-  return Actions;
+  return refuseQueued(ErrorCode::TargetDown);
 }
 
 void AdmissionControl::targetUp() {
@@ -310,14 +311,4 @@
   }
 }
 
-void AdmissionControl::refuseQueue(AdmissionActions &Actions,
-                                   ErrorCode Reason) {
-  for (auto &Queue : Queues_) {
-    for (const Waiting &Entry : Queue)
-      Actions.Refuse_.push_back({Entry.Id_, Reason});
-    Queue.clear();
-  }
-  QueuedCount_ = 0;
-}
-
 } // namespace marigold::admission
--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -217,7 +217,6 @@
   void refuseLate(WaitingQueue &Waiters, AdmissionActions &Actions,
                   TimePoint Now);
   void startQueued(AdmissionActions &Actions, TimePoint Now);
-  void refuseQueue(AdmissionActions &Actions, ErrorCode Reason);
 
   AdmissionSettings Settings_;
   AdaptiveLimit Limit_;
--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -58,6 +58,10 @@
 
 void CallerCall::start() {
   Context_->addOpen(shared_from_this());
+  if (Context_->RefusesNewCalls_) {
+    refuse(ErrorCode::Draining);
+    return;
+  }
   switch (Context_->Parts_.Environment_.gate()) {
   case CallGate::Open:
     begin();
--- a/src/Node/CallerProxy.cpp
+++ b/src/Node/CallerProxy.cpp
@@ -5,7 +5,6 @@
 
 #include "Config/Limits.h"
 #include "Config/Snapshot.h"
-#include "Support/Log.h"
 
 namespace marigold::node {
 
@@ -56,10 +55,6 @@
   static void onRequest(const std::shared_ptr<CallerContext> &Context,
                         HttpRequest Request,
                         std::shared_ptr<HttpExchange> Exchange) {
-    if (Context->RefusesNewCalls_) {
-      refuseWhileStopping(*Context, Request, *Exchange);
-      return;
-    }
     if (Request.Target_.starts_with(ReservedPathPrefix)) {
       handleReservedPath(Context, Request, std::move(Exchange));
       return;
@@ -69,20 +64,6 @@
         ->start();
   }
 
-  static void refuseWhileStopping(CallerContext &Context,
-                                  const HttpRequest &Request,
-                                  HttpExchange &Exchange) {
-    if (Context.LogLimiter_.admits(true, std::chrono::steady_clock::now()))
-      logEvent(LogLevel::Warning, "call_ended",
-               {{"id", std::string(transport::findHeader(
-                           Request.Headers_,
-                           Context.Parts_.HeaderNames_.RequestId_))},
-                {"route", Request.Host_ + Request.Target_},
-                {"outcome", std::string(outcomeText(Outcome::NotRun))},
-                {"reason", std::string(errorText(ErrorCode::Draining))}});
-    Context.refuseWithoutService(Exchange, ErrorCode::Draining);
-  }
-
   static bool isRepeatable(const CallerContext &Context,
                            const HttpRequest &Line) {
     auto Snapshot = Context.Parts_.Environment_.snapshot();
--- a/src/Node/CallerProxy.h
+++ b/src/Node/CallerProxy.h
@@ -59,7 +59,7 @@
   /// Stops accepting connections; requests in progress are still answered.
   void drain();
 
-  /// Refuses all further requests as not run.
+  /// Refuses all further requests with Draining.
   void refuseNewCalls();
 
   /// Number of connections of callers that would be cut off by an exit now: a
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -292,10 +292,10 @@
     return Limit / 2;
   }
 
-  /// Exits once the caller port is closed, all calls that callers made through
-  /// this node, which may still run on other hosts, have ended. A connection on
-  /// which a request is arriving or an answer is being sent, to a caller or to
-  /// another node, also keeps the process.
+  /// Exits once the caller port is closed and all calls that callers made
+  /// through this node, which may still run on other hosts, have ended. A
+  /// connection on which a request is arriving or an answer is being sent, to a
+  /// caller or to another node, also keeps the process.
   void exitWhenIdle() {
     if (CallerPortClosed_ && Caller_.openCallCount() == 0 &&
         Caller_.busyConnectionCount() == 0 && Server_.openStreams() == 0) {
--- a/unittests/Node/KeyTest.cpp
+++ b/unittests/Node/KeyTest.cpp
@@ -144,4 +144,18 @@
   Threads_.stop();
 }
 
+// Guards against a caller that resends a booking which may have run, and is
+// told by a stopping node that it has not.
+TEST_CASE_FIXTURE(MeshFixture, "keyed call at a stopping node is unknown") {
+  FakeTarget Target(Threads_.Io_);
+  addNode(Target.port());
+  TestNode &Caller = addCallerNode();
+  std::string Field = keyField(newKey(Caller));
+  CHECK(statusOf(request(Caller, "POST", "/bookings", "x", Field)) == 200);
+  Caller.Callers_->refuseNewCalls();
+  std::string Answer = request(Caller, "POST", "/bookings", "x", Field);
+  CHECK(fieldOf(Answer, "x-marigold-outcome") == "unknown");
+  CHECK(Target.Runs_ == 1);
+}
+
 } // namespace marigold::node
