A run admitted before the first configuration keeps its slot

Cause: the first configuration replaced the placeholder of admission control, which may hold a run of a service that only the caller's node knows.

Change: such a placeholder is reconfigured. The new test fails without it.

--- a/src/Node/TargetProxy.cpp
+++ b/src/Node/TargetProxy.cpp
@@ -127,7 +127,7 @@
                                        TimePoint Now) {
   // Replaces the placeholder instead of reconfiguring it: an adaptive limit
   // starts at its first number of slots and would grow only slowly from the one
-  // slot of the placeholder. The placeholder has not seen a request yet.
+  // slot of the placeholder.
   bool Draining = Admission_.Control_.draining();
   admission::AdmissionSettings Values = admissionSettings(Parts_.Settings_);
   Values.Slots_ =
@@ -153,7 +153,10 @@
         Current.findService(Admission_.Own_.Service_);
     if (!Service)
       return;
-    bool First = !std::exchange(Admission_.Started_, true);
+    // The placeholder may hold a run: the target's service can be missing from
+    // the configuration of this node and known to the caller's node.
+    bool First = !std::exchange(Admission_.Started_, true) &&
+                 Admission_.Control_.running() == 0;
     Admission_.Configured_ = Current.version();
     if (First)
       startAdmission(*Service, Now);
--- a/unittests/Node/WaitingCallTest.cpp
+++ b/unittests/Node/WaitingCallTest.cpp
@@ -191,6 +191,30 @@
   CHECK(statusOf(Waiting_->receiveHttp()) == 200);
 }
 
+// Guards against a run that is forgotten, and more runs than the target has
+// slots: the run was admitted for a service that is missing from this node's
+// configuration, and the target then changes to a service with one.
+TEST_CASE_FIXTURE(WaitingCallFixture,
+                  "run admitted before the service is configured keeps its "
+                  "slot") {
+  Own_.Service_ = "board";
+  Node_->Target_->onOwnTarget(Own_);
+  CallStart Start;
+  Start.Service_ = "board";
+  Start.Method_ = "POST";
+  Start.Path_ = "/board";
+  Start.Routed_ = true;
+  Start.Remaining_ = Start.Objective_ = TestTimeout;
+  Node_->Target_->callLocal(Start, nullptr,
+                            [](const transport::StreamResult &) {});
+  REQUIRE(eventually([&] { return Target_->Runs_ == 1; }));
+  Own_.Service_ = "desk";
+  Node_->Target_->onOwnTarget(Own_);
+  Waiting_.emplace(book());
+  CHECK(eventually([&] { return Node_->Target_->load().Queued_ == 1; }));
+  CHECK(Target_->Runs_ == 1);
+}
+
 // Guards against any order of changes of the target, free slots and new calls
 // in which a request starts on a target that must not run it: one of another
 // service, one that is leaving or one whose entry was removed.
