Soak: bytes without end never end regularly

The proxy closed one flood with a FIN before it reset the others, and the FIN is the regular end of a response without a length. A target whose bytes have no end does not close.

Change: a flood ends only with a reset. The checks are as before.

--- a/tools/lib/fault_proxy.py
+++ b/tools/lib/fault_proxy.py
@@ -58,11 +58,15 @@
 
     def reset_on_loop(self):
         for writer in list(self.writers):
-            connection = writer.get_extra_info("socket")
-            if connection is not None and not writer.is_closing():
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                      LINGER_RESET)
-            writer.transport.abort()
+            self.abort(writer)
+
+    @staticmethod
+    def abort(writer):
+        connection = writer.get_extra_info("socket")
+        if connection is not None and not writer.is_closing():
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                  LINGER_RESET)
+        writer.transport.abort()
 
     async def serve(self, reader, writer):
         try:
@@ -89,6 +93,8 @@
         while self.endless and not writer.is_closing():
             writer.write(ENDLESS_BLOCKS.get(kind, b"x" * 16384))
             await writer.drain()
+        # A FIN would be the regular end of a body without a length.
+        self.abort(writer)
 
     async def pump(self, reader, writer, is_cut, answers=False):
         while data := await reader.read(65536):
