--- a/src/Transport/HttpClientConnection.cpp
+++ b/src/Transport/HttpClientConnection.cpp
@@ -229,11 +229,18 @@
   Buffer_.commit(
       asio::buffer_copy(Buffer_.prepare(Size), asio::buffer(Input_, Size)));
   parse();
-  if (OnLargeResponse_ && receivedBodyBytes() >= LargeResponse)
+  if (OnLargeResponse_ && bodyMemory() >= LargeResponse)
     OnLargeResponse_();
   read();
 }
 
+std::size_t HttpClientConnection::bodyMemory() const {
+  if (!Parser_ || Closed_)
+    return 0;
+  const std::string &Body = Parser_->get().body();
+  return Parser_->content_length() ? Body.size() : Body.capacity();
+}
+
 void HttpClientConnection::parse() {
   boost::system::error_code Error;
   while (Buffer_.size() != 0) {
--- a/src/Transport/HttpClientConnection.h
+++ b/src/Transport/HttpClientConnection.h
@@ -53,10 +53,9 @@
   /// Time of the last response, or of the connect if there was none.
   TimePoint idleSince() const { return IdleSince_; }
 
-  /// Size in bytes of the part of a response that has been received.
-  std::size_t receivedBodyBytes() const {
-    return Parser_ && !Closed_ ? Parser_->get().body().size() : 0;
-  }
+  /// Memory in bytes that the body of the response in progress takes. A body
+  /// without a length grows in steps and takes up to twice its size.
+  std::size_t bodyMemory() const;
 
   /// Closes the connection. A request in progress fails with Code.
   void close(ErrorCode Code, std::string Detail = {});
--- a/src/Transport/HttpClientPool.cpp
+++ b/src/Transport/HttpClientPool.cpp
@@ -237,9 +237,9 @@
     for (const auto &[Number, Task] : Jobs_) {
       if (!Task->Connection_)
         continue;
-      std::size_t Size = Task->Connection_->receivedBodyBytes();
+      std::size_t Size = Task->Connection_->bodyMemory();
       Total += Size;
-      if (!Largest || Size > Largest->receivedBodyBytes())
+      if (!Largest || Size > Largest->bodyMemory())
         Largest = Task->Connection_;
     }
     if (Total > Limits_.ResponseMemory_)
--- a/src/Transport/HttpClientPool.h
+++ b/src/Transport/HttpClientPool.h
@@ -68,7 +68,7 @@
   std::size_t Connections_ = 100;
   /// Maximum response body size in bytes.
   std::uint64_t Response_ = std::size_t{8} * 1024 * 1024;
-  /// Maximum total size in bytes of the response bodies that are being
+  /// Maximum total memory in bytes of the response bodies that are being
   /// received. Beyond it the largest one fails with AnswerTooLarge, so that a
   /// faulty target that sends without end on many connections cannot exhaust
   /// the memory of the node. Room for three responses of the maximum size.
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -338,6 +338,35 @@
   CHECK(Failed->Cause_.Code_ == ErrorCode::AnswerTooLarge);
 }
 
+// Guards against a limit that counts received bytes while bodies without a
+// length take up to twice as much memory.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "http client bounds the memory of bodies without a length") {
+  HttpClientLimits Limits;
+  Limits.ResponseMemory_ = std::size_t{2} * 1024 * 1024;
+  pool(Limits);
+  std::array<Waiter<HttpClientResult>, 3> Got;
+  std::vector<RawConnection> Targets;
+  for (auto &Each : Got) {
+    send(Each, true);
+    Targets.push_back(Listener_.accept());
+    Targets.back().receiveHttp();
+  }
+  // Together 1.8 MB, for which 3 MiB are reserved.
+  for (RawConnection &Target : Targets)
+    Target.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(600'000, 'x'));
+  auto Failed = failureOf(Got[0]);
+  REQUIRE(Failed);
+  CHECK(Failed->Cause_.Code_ == ErrorCode::AnswerTooLarge);
+  for (std::size_t Index : {1U, 2U}) {
+    Targets[Index].close();
+    auto Value = Got[Index].take();
+    REQUIRE(Value);
+    REQUIRE(Value->Response_);
+    CHECK(Value->Response_->Body_.size() == 600'000);
+  }
+}
+
 // Guards against telling that a request has not run although it was written to
 // a connection before: it is sent again because the target seems to have closed
 // the idle connection, and then no new connection can be opened.
