--- a/tools/lib/soak.py
+++ b/tools/lib/soak.py
@@ -282,7 +282,8 @@
             link.reset()
             return
         link.delay = length / 10 if kind == "delay" else 0.0
-        link.endless = kind.removeprefix("endless-") if "endless" in kind else None
+        if kind.startswith("endless-"):
+            link.endless = kind.removeprefix("endless-")
         link.cut_requests = kind in ("cut-requests", "silence")
         link.cut_answers = kind in ("cut-answers", "silence")
         time.sleep(length)
