--- a/unittests/Node/WaitingCallTest.cpp
+++ b/unittests/Node/WaitingCallTest.cpp
@@ -64,7 +64,7 @@
   /// Sends one booking that runs and one that waits for its slot.
   void fillSlotAndQueue() {
     Running_.emplace(book());
-    REQUIRE(eventually([&] { return Target_->Runs_ == 1; }));
+    REQUIRE(eventually([&] { return heldCount() == 1; }));
     Waiting_.emplace(book());
     REQUIRE(eventually([&] { return Node_->Target_->load().Queued_ == 1; }));
   }
@@ -75,7 +75,7 @@
     configure(2, 1);
     Node_->Target_->onOwnTarget(Own_);
     Running_.emplace(book());
-    REQUIRE(eventually([&] { return Target_->Runs_ == 1; }));
+    REQUIRE(eventually([&] { return heldCount() == 1; }));
     Waiting_.emplace(book());
     REQUIRE(eventually([&] { return Node_->Target_->load().Running_ == 2; }));
   }
@@ -186,7 +186,7 @@
   Node_->Target_->onOwnTarget(Own_);
   answerHeld();
   CHECK(statusOf(Running_->receiveHttp()) == 200);
-  REQUIRE(eventually([&] { return Target_->Runs_ == 2; }));
+  REQUIRE(eventually([&] { return heldCount() == 1; }));
   answerHeld();
   CHECK(statusOf(Waiting_->receiveHttp()) == 200);
 }
@@ -205,14 +205,20 @@
   Start.Path_ = "/board";
   Start.Routed_ = true;
   Start.Remaining_ = Start.Objective_ = TestTimeout;
-  Node_->Target_->callLocal(Start, nullptr,
-                            [](const transport::StreamResult &) {});
-  REQUIRE(eventually([&] { return Target_->Runs_ == 1; }));
+  std::atomic<bool> Ended = false;
+  Node_->Target_->callLocal(
+      Start, nullptr, [&](const transport::StreamResult &) { Ended = true; });
+  REQUIRE(eventually([&] { return heldCount() == 1; }));
   Own_.Service_ = "desk";
   Node_->Target_->onOwnTarget(Own_);
   Waiting_.emplace(book());
   CHECK(eventually([&] { return Node_->Target_->load().Queued_ == 1; }));
   CHECK(Target_->Runs_ == 1);
+  answerHeld();
+  CHECK(eventually([&] { return Ended.load(); }));
+  CHECK(eventually([&] { return heldCount() == 1; }));
+  answerHeld();
+  CHECK(statusOf(Waiting_->receiveHttp()) == 200);
 }
 
 // Guards against any order of changes of the target, free slots and new calls
