install-packages: name the packages that hold clang-format and clang-tidy

tools/lint.sh calls clang-format and tools/tidy.py calls clang-tidy; the script named clang-format-14 and clang-tidy-14, which install only the commands with the version in their names.

Ruled out: calling the versioned commands in the scripts, since editors call the unversioned ones and would format with another version.

On this machine the script now ends at once with nothing to install for both names; before, it did not look for them.

--- a/tools/install-packages.sh
+++ b/tools/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages required for builds, tests and reports. Does
 # nothing if all of them are installed.
 set -euo pipefail
-packages=(g++ cmake ninja-build mold ccache clang-format-14 clang-tidy-14
+packages=(g++ cmake ninja-build mold ccache clang-format clang-tidy
   libboost1.81-dev libcereal-dev libpopt-dev libeasyloggingpp-dev doctest-dev
   libxxhash-dev libyaml-cpp-dev nlohmann-json3-dev libssl-dev zlib1g-dev
   python3-jinja2 python3-yaml gnuplot-nox)
