--- a/src/StandIns/LoadRunner.cpp
+++ b/src/StandIns/LoadRunner.cpp
@@ -2,7 +2,7 @@
 
 #include "StandIns/LoadPlan.h"
 #include "StandIns/NodePool.h"
-#include "StandIns/UrlQuery.h"
+#include "Support/UrlText.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/StandIns/UrlQuery.h
+++ b/src/StandIns/UrlQuery.h
@@ -8,13 +8,6 @@
 
 namespace marigold::standins {
 
-/// Decodes %XX escapes and, if PlusIsSpace is set, + as a space. Invalid
-/// escapes are left unchanged.
-std::string decodeUrl(std::string_view Text, bool PlusIsSpace);
-
-/// Percent-encodes all characters except the unreserved ones.
-std::string encodeUrl(std::string_view Text);
-
 /// Decoded path and query parameters of a request target.
 class UrlQuery {
 public:
--- a/unittests/StandIns/PlatformServerTest.cpp
+++ b/unittests/StandIns/PlatformServerTest.cpp
@@ -1,6 +1,7 @@
 #include "StandIns/PlatformServer.h"
 #include "ServerFixture.h"
 #include "StandIns/UrlQuery.h"
+#include "Support/UrlText.h"
 
 #include <future>
 
--- a/unittests/StandIns/PlatformStateTest.cpp
+++ b/unittests/StandIns/PlatformStateTest.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/PlatformState.h"
 #include "StandIns/UrlQuery.h"
+#include "Support/UrlText.h"
 
 #include <doctest/doctest.h>
 
