--- a/src/Transport/EgressPacer.cpp
+++ b/src/Transport/EgressPacer.cpp
@@ -135,6 +135,11 @@
   Backlog_ += Bytes;
 }
 
+std::int64_t EgressPacer::backlog() const {
+  std::lock_guard Lock(Mutex_);
+  return Backlog_;
+}
+
 Duration EgressPacer::transferTime(std::size_t Bytes) const {
   std::lock_guard Lock(Mutex_);
   auto Ahead = static_cast<std::size_t>(std::max<std::int64_t>(Backlog_, 0));
--- a/src/Transport/EgressPacer.h
+++ b/src/Transport/EgressPacer.h
@@ -110,6 +110,9 @@
   /// Negative when bytes were sent or discarded.
   void addBacklog(std::int64_t Bytes);
 
+  /// Bytes of large bodies that are ready to be sent.
+  std::int64_t backlog() const;
+
   /// Time until a large body of Bytes would be sent completely, including the
   /// backlog ahead of it.
   Duration transferTime(std::size_t Bytes) const;
--- a/src/Transport/PeerLink.cpp
+++ b/src/Transport/PeerLink.cpp
@@ -243,7 +243,9 @@
   if (isBulk(Entry.Body_))
     addBacklog(static_cast<std::int64_t>(Entry.Offset_) -
                static_cast<std::int64_t>(Entry.Body_->size()));
-  // The ready queue may still contain the stream; appendStreamSegment skips it.
+  // A stream that stays in the queue of large bodies would use up link time.
+  if (Entry.Queued_)
+    std::erase(readyQueue(Entry), Stream);
   Outgoing_.erase(Position);
 }
 
@@ -254,15 +256,12 @@
 void PeerLink::addBacklog(std::int64_t Bytes) {
   if (Options_.Pacer_)
     Options_.Pacer_->addBacklog(Bytes);
+  if (Options_.Metrics_)
+    Options_.Metrics_->add(Metric::EgressBacklogBytes, Bytes);
 }
 
 TimePoint PeerLink::dueTimeOf(std::uint32_t Stream, TimePoint Now) const {
-  auto Position = Outgoing_.find(Stream);
-  // A discarded stream is due immediately, so that it is removed from the
-  // queue.
-  if (Position == Outgoing_.end())
-    return TimePoint::min();
-  const Outgoing &Entry = Position->second;
+  const Outgoing &Entry = Outgoing_.at(Stream);
   return dueTime(Entry.Deadlines_,
                  Options_.Pacer_->unloadedTransferTime(Entry.Body_->size() -
                                                        Entry.Offset_),
@@ -292,13 +291,10 @@
   return false;
 }
 
-bool PeerLink::appendStreamSegment(std::deque<std::uint32_t> &Queue) {
+void PeerLink::appendStreamSegment(std::deque<std::uint32_t> &Queue) {
   std::uint32_t Stream = Queue.front();
   Queue.pop_front();
-  auto Position = Outgoing_.find(Stream);
-  if (Position == Outgoing_.end())
-    return false;
-  Outgoing &Entry = Position->second;
+  Outgoing &Entry = Outgoing_.at(Stream);
   Entry.Queued_ = false;
   WriteSegment Part;
   auto Own = LocalStreams_.find(Stream);
@@ -309,14 +305,14 @@
     if (Own != LocalStreams_.end())
       Own->second.Started_ = true;
   }
-  // Only the body of a large message waits for the link. Its first frame is
-  // sent in the order of the stream numbers, which the peer requires.
-  if (Starts && isBulk(Entry.Body_))
-    Size = 0;
   std::size_t Total = Entry.Body_ ? Entry.Body_->size() : 0;
   std::size_t Size =
       std::min<std::size_t>({Total - Entry.Offset_, Options_.Limits_.Chunk_,
                              static_cast<std::size_t>(Entry.Credit_)});
+  // Only the body of a large message waits for the link. Its first frame is
+  // sent in the order of the stream numbers, which the peer requires.
+  if (Starts && isBulk(Entry.Body_))
+    Size = 0;
   if (Size != 0) {
     // The data frame is encoded here to avoid copying the body: its header is
     // built here and its data refers to the shared body. The encoding must
@@ -342,18 +338,17 @@
   BatchBytes_ += Part.Text_.size() + Part.Size_ + Tail.size();
   if (Part.Size_ == 0)
     Part.Text_ += Tail;
-    if (Own != LocalStreams_.end())
-      Own->second.Complete_ = true;
   Segments_.push_back(std::move(Part));
   if (Segments_.back().Size_ != 0 && !Tail.empty())
     Segments_.push_back({std::move(Tail), nullptr, 0, 0});
   if (Finished) {
+    if (Own != LocalStreams_.end())
+      Own->second.Complete_ = true;
     dropOutgoing(Stream);
   } else if (Again) {
     Entry.Queued_ = true;
     readyQueue(Entry).push_back(Stream);
   }
-  return true;
 }
 
 void PeerLink::flush() {
@@ -467,11 +462,13 @@
   for (auto &[Stream, Entry] : Dropped)
     if (Entry.Complete_)
       Handler_.onCallCancel(Self, Stream);
+  for (auto &[Stream, Entry] : Outgoing_)
+    Entry.Queued_ = false;
+  Ready_.clear();
+  ReadyBulk_.clear();
   // Unsent bytes must be removed from the backlog of the pacer.
   while (!Outgoing_.empty())
     dropOutgoing(Outgoing_.begin()->first);
-  Ready_.clear();
-  ReadyBulk_.clear();
   Control_.clear();
   updateStreamCount();
   if (WasOpen)
--- a/src/Transport/PeerLink.h
+++ b/src/Transport/PeerLink.h
@@ -168,7 +168,7 @@
   /// Due time of the body that this stream sends.
   TimePoint dueTimeOf(std::uint32_t Stream, TimePoint Now) const;
   void addBacklog(std::int64_t Bytes);
-  bool appendStreamSegment(std::deque<std::uint32_t> &Queue);
+  void appendStreamSegment(std::deque<std::uint32_t> &Queue);
   void onWritten(boost::system::error_code Error);
 
   void armTimer(Duration Delay);
--- a/src/Transport/PeerStreams.cpp
+++ b/src/Transport/PeerStreams.cpp
@@ -380,17 +380,22 @@
 }
 
 Result<void> PeerLink::receive(CallCancel Value) {
+  if (isLocal(Value.Stream_) || Value.Stream_ > LastRemoteStream_)
+    return unexpected("CallCancel");
   auto Position = RemoteStreams_.find(Value.Stream_);
   if (Position == RemoteStreams_.end()) {
-    if (!isLocal(Value.Stream_) && Value.Stream_ <= LastRemoteStream_)
-      return success();
-    return unexpected("CallCancel");
+    // The call has ended, and its reply may be on the way. The peer grants no
+    // more credit for it, so the rest of its body would stay here.
+    if (Options_.Metrics_ && Outgoing_.contains(Value.Stream_))
+      Options_.Metrics_->add(Metric::RepliesCancelledTotal);
+    dropOutgoing(Value.Stream_);
+    updateStreamCount();
+    return success();
   }
   bool Complete = Position->second.Complete_;
   if (!Complete)
     ReceivingBytes_ -= Position->second.Start_.BodySize_;
   RemoteStreams_.erase(Position);
-  dropOutgoing(Value.Stream_);
   updateStreamCount();
   if (Complete)
     Handler_.onCallCancel(shared_from_this(), Value.Stream_);
