Sizes of answers are remembered for more kinds of request

Change: 1,024 kinds are remembered; if there are more, an unknown kind counts as the mean of all answers. With room in the table it still counts as small, since its size can only be learned by admitting it. The test of eviction uses three times the size of the table, as it did before.

Ruled out: the mean for every unknown kind, which would refuse short calls on a new route while documents fill the link.

Before: "forecast of downloads on many routes knows their size" fails at once with 0 of 280,000 bytes. After: passes with 400 and 7,000 routes.

--- a/src/Admission/EstimatesByKind.h
+++ b/src/Admission/EstimatesByKind.h
@@ -15,7 +15,7 @@
   /// Maximum number of kinds in the table. The least recently updated one is
   /// evicted for a new one, so that kinds of removed routes do not fill the
   /// table.
-  static constexpr std::size_t MaxKinds_ = 64;
+  static constexpr std::size_t MaxKinds_ = 1024;
 
   /// Updates the estimate of the kind and the one over all requests.
   template <class Sample>
@@ -43,6 +43,10 @@
     return Position == Kinds_.end() ? nullptr : &Position->second.Estimate_;
   }
 
+  /// Whether kinds may be missing although they have been updated, because the
+  /// table is full.
+  bool full() const { return Kinds_.size() >= MaxKinds_; }
+
   /// The estimate over all requests.
   const Estimate &all() const { return All_; }
 
--- a/src/Admission/TransferForecast.cpp
+++ b/src/Admission/TransferForecast.cpp
@@ -17,6 +17,8 @@
 
 std::size_t TransferForecast::largeSize(std::uint32_t Kind) const {
   const MeanSize *Known = Sizes_.find(Kind);
+  if (!Known && Sizes_.full())
+    Known = &Sizes_.all();
   return Known && Known->Bytes_ > SmallAnswerBytes
              ? static_cast<std::size_t>(Known->Bytes_)
              : 0;
--- a/src/Admission/TransferForecast.h
+++ b/src/Admission/TransferForecast.h
@@ -20,7 +20,9 @@
   };
 
   /// Load of a new request of this kind. An unknown kind counts as small,
-  /// because its size can only be learned by admitting a request.
+  /// because its size can only be learned by admitting a request. If there are
+  /// more kinds than can be remembered, it counts as the mean of all answers:
+  /// the link would otherwise get more of them than it can carry.
   Load loadOf(std::uint32_t Kind) const {
     return {RunningBytes_, largeSize(Kind)};
   }
--- a/unittests/Admission/TransferForecastTest.cpp
+++ b/unittests/Admission/TransferForecastTest.cpp
@@ -62,13 +62,34 @@
 // Guards against kinds of removed routes that keep new kinds out of the table.
 TEST_CASE("forecast forgets the kind that was learned the longest ago") {
   TransferForecast Forecast;
-  constexpr std::uint32_t Kinds = 200;
+  constexpr std::uint32_t Kinds = 3 * EstimatesByKind<int>::MaxKinds_;
   for (std::uint32_t Kind = 0; Kind < Kinds; ++Kind)
     Forecast.onEnded(Kind, Kind, 1'500);
   Forecast.onEnded(Kinds, Kinds, 280'000);
   CHECK(Forecast.loadOf(Kinds).AnswerBytes_ == 280'000);
 }
 
+// Guards against downloads on many routes that all count as small, so that a
+// node takes on more of them than its link can carry: their kinds displace one
+// another in the table. The configuration has grown by many routes, to which
+// the downloads go in turn.
+TEST_CASE("forecast of downloads on many routes knows their size") {
+  for (std::uint32_t Routes : {400U, 7'000U}) {
+    CAPTURE(Routes);
+    TransferForecast Forecast;
+    std::uint64_t Id = 0;
+    for (int Round = 0; Round < 3; ++Round)
+      for (std::uint32_t Kind = 0; Kind < Routes; ++Kind)
+        Forecast.onEnded(++Id, Kind, 280'000);
+    for (std::uint32_t Kind = 0; Kind < Routes; ++Kind)
+      REQUIRE(Forecast.loadOf(Kind).AnswerBytes_ == 280'000);
+    Forecast.onAdmitted(++Id, 0);
+    CHECK(Forecast.loadOf(1).PendingBytes_ == 280'000);
+    Forecast.onEnded(Id, 0, 0);
+    CHECK(Forecast.loadOf(1).PendingBytes_ == 0);
+  }
+}
+
 // Guards against downloads beyond the bandwidth of a 9 Mbit/s link that are
 // admitted because slots are free, although their answers would wait for the
 // link beyond the objective.
