--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -1,5 +1,7 @@
 #include "Node/CallerCall.h"
 
+#include "Node/CallInterface.h"
+
 #include "Calls/RequestKey.h"
 #include "Support/Addresses.h"
 #include "Support/Digest.h"
@@ -121,9 +123,10 @@
   Snapshot_ = Parts.Environment_.snapshot();
   if (!Snapshot_)
     return fail(ErrorCode::NotReady);
-  if (const VirtualHost *Host = Snapshot_->findHost(Request_.Host_))
-    return prepareRouted(*Host);
   const HttpHeaderNames &Names = Parts.HeaderNames_;
+  if (interfaceOf(Request_, Names, Snapshot_.get()) ==
+      CallInterface::VirtualHost)
+    return prepareRouted();
   std::string_view Key = requestKey();
   bool Keyed = !Key.empty();
   if (Keyed) {
@@ -201,15 +204,17 @@
   State_ = &Context_->Pools_.stateOf(*Service_, Snapshot_->version());
 }
 
-Result<void> CallerCall::prepareRouted(const VirtualHost &Host) {
+Result<void> CallerCall::prepareRouted() {
   // Idempotency keys do not apply to virtual hosts.
   Tracker_ = calls::OutcomeTracker(calls::CallSide::CallerNode);
   const CallerProxyParts &Parts = Context_->Parts_;
+  const VirtualHost *Host = Snapshot_->findHost(Request_.Host_);
   const HostRoute *Route =
-      config::Snapshot::matchHostRoute(Host, Request_.Target_);
+      Host ? config::Snapshot::matchHostRoute(*Host, Request_.Target_)
+           : nullptr;
   if (!Route)
     return fail(ErrorCode::NoRoute, Request_.Host_);
-  Service_ = Snapshot_->findService(Context_->chooseService(Host, *Route));
+  Service_ = Snapshot_->findService(Context_->chooseService(*Host, *Route));
   if (!Service_)
     return fail(ErrorCode::UnknownService, Request_.Host_);
   Duration Limit = Route->Deadline_;
--- a/src/Node/CallerCall.h
+++ b/src/Node/CallerCall.h
@@ -114,7 +114,7 @@
   /// Checks the request and initializes the call from it. Fails with the code
   /// of the refusal.
   Result<void> prepare();
-  Result<void> prepareRouted(const VirtualHost &Host);
+  Result<void> prepareRouted();
   /// Moves the header fields and the body of the request into the call.
   void takeHeadersAndBody();
   void begin();
--- a/src/Node/CallerProxy.cpp
+++ b/src/Node/CallerProxy.cpp
@@ -1,5 +1,6 @@
 #include "Node/CallerProxy.h"
 
+#include "Node/CallInterface.h"
 #include "Node/CallerCall.h"
 #include "Node/CallerKeys.h"
 
@@ -13,7 +14,6 @@
 
 namespace {
 
-constexpr std::string_view ReservedPathPrefix = "/.marigold/";
 // Body limit of a request that will be refused anyway. The body is read so that
 // the caller gets the specific reason.
 constexpr std::uint64_t DefaultBodyLimit = std::size_t{64} * 1024;
@@ -55,7 +55,9 @@
   static void onRequest(const std::shared_ptr<CallerContext> &Context,
                         HttpRequest Request,
                         std::shared_ptr<HttpExchange> Exchange) {
-    if (Request.Target_.starts_with(ReservedPathPrefix)) {
+    auto Snapshot = Context->Parts_.Environment_.snapshot();
+    if (interfaceOf(Request, Context->Parts_.HeaderNames_, Snapshot.get()) ==
+        CallInterface::Reserved) {
       handleReservedPath(Context, Request, std::move(Exchange));
       return;
     }
@@ -67,26 +69,38 @@
   static bool isRepeatable(const CallerContext &Context,
                            const HttpRequest &Line) {
     auto Snapshot = Context.Parts_.Environment_.snapshot();
-    if (!Snapshot || Line.Target_.starts_with(ReservedPathPrefix))
+    if (!Snapshot)
       return false;
-    if (const VirtualHost *Host = Snapshot->findHost(Line.Host_)) {
+    switch (interfaceOf(Line, Context.Parts_.HeaderNames_, Snapshot.get())) {
+    case CallInterface::VirtualHost: {
+      const VirtualHost *Host = Snapshot->findHost(Line.Host_);
       const HostRoute *Route =
-          config::Snapshot::matchHostRoute(*Host, Line.Target_);
+          Host ? config::Snapshot::matchHostRoute(*Host, Line.Target_)
+               : nullptr;
       return Route && Route->Repeatable_;
     }
-    auto Route = Snapshot->matchRoute(Line.Host_, Line.Method_, Line.Target_);
-    return Route && Route.value()->Repeatable_;
+    case CallInterface::Service: {
+      auto Route = Snapshot->matchRoute(Line.Host_, Line.Method_, Line.Target_);
+      return Route && Route.value()->Repeatable_;
+    }
+    case CallInterface::Reserved:
+      break;
+    }
+    return false;
   }
 
   static std::uint64_t bodyLimit(const CallerContext &Context,
                                  const HttpRequest &Head) {
+    const HttpHeaderNames &Names = Context.Parts_.HeaderNames_;
     // Only the key's owner may refuse a keyed request, whatever its size.
-    if (!transport::findHeader(Head.Headers_, "idempotency-key").empty())
+    if (!Names.Key_.empty() &&
+        !transport::findHeader(Head.Headers_, Names.Key_).empty())
       return config::MaxBodyLimit;
     auto Snapshot = Context.Parts_.Environment_.snapshot();
     if (!Snapshot)
       return DefaultBodyLimit;
-    if (Snapshot->findHost(Head.Host_)) {
+    if (interfaceOf(Head, Names, Snapshot.get()) ==
+        CallInterface::VirtualHost) {
       std::uint64_t Limit = Snapshot->limits().BodyBytes_;
       return Limit == 0 ? config::MaxBodyLimit
                         : std::min(Limit, config::MaxBodyLimit);
--- a/src/Node/HttpHeaderNames.h
+++ b/src/Node/HttpHeaderNames.h
@@ -5,8 +5,9 @@
 namespace marigold::node {
 
 /// Names of the header fields in which callers, nodes and targets of one
-/// platform exchange information about a request. All are in lower case; an
-/// empty name means that the platform has no such field.
+/// platform exchange information about a request, and what the platform means
+/// by them. All are in lower case; an empty name means that the platform has no
+/// such field.
 struct HttpHeaderNames {
   /// Request identifier set by the caller. Targets repeat it in their answers.
   std::string RequestId_ = "x-request-id";
@@ -35,6 +36,9 @@
   /// that the request has not run. An answer of a target with such a status but
   /// without the field NotRun_ is then not passed on.
   bool StatusMeansNotRun_ = false;
+  /// Whether a Host field that names no virtual host names a service. If not,
+  /// virtual hosts and services are named independently of one another.
+  bool HostsAreServices_ = true;
 };
 
 /// The default names, those of marigolddale's own interface.
--- a/src/Node/TargetProxy.cpp
+++ b/src/Node/TargetProxy.cpp
@@ -112,6 +112,8 @@
       return fail(ErrorCode::BodyTooLarge);
     return CallRules{Start.Repeatable_, Start.Priority_, Duration::max()};
   }
+  if (!Parts_.HeaderNames_.HostsAreServices_)
+    return fail(ErrorCode::NoRoute, Start.Service_);
   BOOST_OUTCOME_TRY(
       auto Route,
       Current->matchRoute(Start.Service_, Start.Method_, Start.Path_));
--- a/unittests/Node/RoutedCallTest.cpp
+++ b/unittests/Node/RoutedCallTest.cpp
@@ -1,3 +1,4 @@
+#include "../TestSeed.h"
 #include "MeshFixture.h"
 
 #include <doctest/doctest.h>
@@ -67,10 +68,11 @@
   }
 
   static std::string call(const TestNode &Node, const std::string &Method,
-                          const std::string &Path) {
+                          const std::string &Path,
+                          const std::string &Host = "book.example") {
     RawConnection Connection(Node.callerPort());
-    Connection.send(Method + " " + Path +
-                    " HTTP/1.1\r\nHost: book.example\r\nX-Id: q1\r\n"
+    Connection.send(Method + " " + Path + " HTTP/1.1\r\nHost: " + Host +
+                    "\r\nX-Id: q1\r\n"
                     "X-Caller: forged\r\nContent-Length: 0\r\n\r\n");
     return Connection.receiveHttp();
   }
@@ -118,6 +120,82 @@
   CHECK(statusOf(call(Node, "GET", "/other/1")) == 404);
 }
 
+// Guards against requests of a host without routes that are run by the service
+// of the same name, to which no version sent them, and without the service of
+// their caller. Versions drop and add the routes of hosts whose names are those
+// of services.
+TEST_CASE_FIXTURE(RoutedCallFixture,
+                  "host is served by its routes only, whatever its name") {
+  View_.HeaderNames_.HostsAreServices_ = false;
+  std::atomic<int> WithoutCaller = 0;
+  addTarget([&](const HttpRequest &Request, std::shared_ptr<HttpExchange> Out) {
+    if (findHeader(Request.Headers_, "x-caller") != "desk")
+      ++WithoutCaller;
+    Out->respond(signedAnswer(Request));
+  });
+  TestNode &Caller = *Nodes_.front();
+  const std::vector<std::string> Names{"desk", "shelf", "book.example"};
+  const std::vector<std::string> Paths{"/dates/1", "/", "/.marigold/keys"};
+  forEachSeed(10, [&](Random &Rng) {
+    config::ServiceModel Model = config::toModel(*View_.Snapshot_);
+    Model.Hosts_.clear();
+    std::map<std::string, bool> Routed;
+    for (const std::string &Name : Names) {
+      Routed[Name] = Rng.chance(0.5);
+      HostRoute Route = config::defaultHostRoute();
+      Route.Prefix_ = "/";
+      Route.Repeatable_ = Rng.chance(0.5);
+      Route.Deadline_ = std::chrono::seconds(60);
+      Route.Targets_ = {{"desk", 1}};
+      if (Routed[Name])
+        Model.Hosts_.push_back({Name, {Route}});
+    }
+    {
+      std::lock_guard Lock(View_.Mutex_);
+      View_.Snapshot_ =
+          config::buildSnapshot(std::move(Model), {1, 10 + Rng.below(1000)});
+    }
+    for (const std::string &Name : Names)
+      for (const std::string &Path : Paths) {
+        CAPTURE(Name);
+        CAPTURE(Path);
+        int Before = runs();
+        unsigned Status = statusOf(call(Caller, "POST", Path, Name));
+        CHECK(Status == (Routed[Name] ? 200 : 404));
+        CHECK(runs() - Before == (Routed[Name] ? 1 : 0));
+      }
+  });
+  CHECK(WithoutCaller == 0);
+}
+
+// Guards against a node of an earlier version, beside which this one runs
+// during a rolling restart, that sends a request to the service with the name
+// of its host.
+TEST_CASE_FIXTURE(
+    RoutedCallFixture,
+    "call that no route has sent is refused by the target's node") {
+  View_.HeaderNames_.HostsAreServices_ = false;
+  TestNode &Node = addTarget(
+      [](const HttpRequest &Request, std::shared_ptr<HttpExchange> Out) {
+        Out->respond(signedAnswer(Request));
+      });
+  CallStart Start;
+  Start.Service_ = "desk";
+  Start.Method_ = "POST";
+  Start.Path_ = "/visits/9";
+  Start.Remaining_ = std::chrono::seconds(30);
+  Waiter<transport::StreamResult> Got;
+  Node.Target_->callLocal(Start, nullptr, [&](transport::StreamResult Value) {
+    Got.set(std::move(Value));
+  });
+  auto Value = Got.take();
+  REQUIRE(Value);
+  auto *Refused = std::get_if<CallRefused>(&*Value);
+  REQUIRE(Refused);
+  CHECK(Refused->Code_ == static_cast<std::uint16_t>(ErrorCode::NoRoute));
+  CHECK(runs() == 0);
+}
+
 // Guards against refusing a booking that another target could have run, and
 // against running it twice.
 TEST_CASE_FIXTURE(RoutedCallFixture,
