--- a/src/Transport/HttpClientConnection.cpp
+++ b/src/Transport/HttpClientConnection.cpp
@@ -211,7 +211,7 @@
       Parser_->is_header_done() && Parser_->need_eof()) {
     boost::system::error_code Ended;
     Parser_->put_eof(Ended);
-    if (!Ended && Parser_->is_done() && belongsToRequest()) {
+    if (!Ended && Parser_->is_done() && isAnswer()) {
       complete();
       return;
     }
@@ -246,6 +246,12 @@
   while (Buffer_.size() != 0) {
     std::size_t Used = Parser_->put(Buffer_.data(), Error);
     Buffer_.consume(Used);
+    if (Parser_->is_header_done() && !hasValidStatus()) {
+      end(fail(ErrorCode::MalformedAnswer,
+               "status " + std::to_string(Parser_->get().result_int())),
+          false);
+      return;
+    }
     if (Error == http::error::need_more) {
       if (Buffer_.size() > HttpHeaderLimit)
         end(fail(ErrorCode::MalformedAnswer,
@@ -261,8 +267,7 @@
       return;
     }
     if (Parser_->is_done()) {
-      unsigned Status = Parser_->get().result_int();
-      if ((Status >= 200 || Status == 101) && belongsToRequest()) {
+      if (isAnswer()) {
         complete();
         return;
       }
@@ -279,6 +284,15 @@
   }
 }
 
+bool HttpClientConnection::hasValidStatus() const {
+  unsigned Status = Parser_->get().result_int();
+  return isFinalStatus(Status) || isInformationalStatus(Status);
+}
+
+bool HttpClientConnection::isAnswer() const {
+  return isFinalStatus(Parser_->get().result_int()) && belongsToRequest();
+}
+
 bool HttpClientConnection::belongsToRequest() const {
   if (EchoField_.empty())
     return true;
@@ -313,7 +327,7 @@
   auto Response = std::make_unique<HttpResponse>();
   auto &Head = Parser_->get();
   bool Reusable = Parser_->keep_alive() && !Parser_->need_eof() && !Writing_ &&
-                  Buffer_.size() == 0 && Head.result_int() != 101 &&
+                  Buffer_.size() == 0 &&
                   (EchoField_.empty() || Head.count(EchoField_) != 0);
   updateIdleLimit();
   Response->Status_ = Head.result_int();
--- a/src/Transport/HttpClientConnection.h
+++ b/src/Transport/HttpClientConnection.h
@@ -80,8 +80,14 @@
   void parse();
   void startParser();
   void complete();
-  /// Whether the parsed response answers the request in progress. All framings
-  /// of a response are checked by this function before complete is called.
+  /// Whether the response that is being parsed has a status that a response can
+  /// have. A response with another one is not read further, whatever its
+  /// framing.
+  bool hasValidStatus() const;
+  /// Whether the parsed response is the answer to the request in progress. All
+  /// framings of a response are checked by this function before complete is
+  /// called.
+  bool isAnswer() const;
   bool belongsToRequest() const;
   void updateIdleLimit();
   void end(Failure Cause, bool Lost);
--- a/src/Transport/HttpGet.cpp
+++ b/src/Transport/HttpGet.cpp
@@ -144,6 +144,11 @@
     }
     HttpGetResponse Value;
     auto &Head = Parser_.get();
+    if (!isFinalStatus(Head.result_int())) {
+      end(fail(ErrorCode::MalformedAnswer,
+               "status " + std::to_string(Head.result_int())));
+      return;
+    }
     if (!Parser_.chunked() && !Parser_.content_length()) {
       // The end of such a body cannot be distinguished from a lost connection.
       end(fail(ErrorCode::MalformedAnswer,
--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -376,9 +376,10 @@
   HttpResponse Response = std::move(*Pending_.front()->Response_);
   Closing_ = Place.Close_ || (Draining_ && Pending_.size() == 1);
   LastRequest_ = LastRequest_ || Closing_;
+  // The fields belong to the status: they must not be sent with another one.
+  if (!isFinalStatus(Response.Status_))
+    Response = errorResponse(ErrorCode::MalformedAnswer);
   unsigned Status = Response.Status_;
-  if (Status < 200 || Status > 999)
-    Status = 502;
   Message_.emplace();
   Message_->version(11);
   Message_->result(Status);
--- a/src/Transport/HttpTypes.h
+++ b/src/Transport/HttpTypes.h
@@ -40,6 +40,20 @@
   std::string Body_;
 };
 
+/// Whether a status is one of a final response. Nothing else is an answer: a
+/// client cannot tell what a status below 100 or above 599 means, and the
+/// statuses from 100 to 199 announce an answer that follows.
+constexpr bool isFinalStatus(unsigned Status) {
+  return Status >= 200 && Status <= 599;
+}
+
+/// Whether a status is one of an informational response, behind which the final
+/// one follows on the same connection. After status 101 another protocol
+/// follows, for which nodes never ask.
+constexpr bool isInformationalStatus(unsigned Status) {
+  return Status >= 100 && Status <= 199 && Status != 101;
+}
+
 /// Value of the first field with the given lower-case name; empty if there is
 /// none.
 std::string_view findHeader(const std::vector<Header> &Headers,
