--- a/unittests/Transport/PeerStreamOrderTest.cpp
+++ b/unittests/Transport/PeerStreamOrderTest.cpp
@@ -103,6 +103,38 @@
   CHECK_FALSE(Lost->Written_);
 }
 
+// Guards against a reply that is taken for whole although the connection ended
+// in the middle of it. The frames of a reply are cut at each byte.
+TEST_CASE_FIXTURE(PeerStreamOrderFixture,
+                  "reply that is cut at any byte is no reply") {
+  std::string Frames;
+  for (std::size_t Size = 0; Size == 0 || Size < Frames.size(); ++Size) {
+    CAPTURE(Size);
+    Waiter<StreamResult> Got;
+    {
+      RawPeer Peer = connectRaw();
+      auto Stream = Connection_->call({}, nullptr, into(Got));
+      Peer.expect<CallStart>();
+      Peer.expect<CallEnd>();
+      ReplyStart Start;
+      Start.Stream_ = Stream;
+      Start.BodySize_ = 4;
+      Start.Headers_ = {{"x-a", "b"}};
+      Frames = makeFrame(MessageType::ReplyStart, encodeBody(Start)) +
+               makeFrame(MessageType::ReplyData,
+                         encodeBody(ReplyData{Stream, "done"})) +
+               makeFrame(MessageType::ReplyEnd,
+                         encodeBody(ReplyEnd{Stream, {}, {}}));
+      Peer.Socket_.send(std::string_view(Frames).substr(0, Size));
+    }
+    auto Value = Got.take();
+    REQUIRE(Value);
+    auto *Lost = std::get_if<StreamLost>(&*Value);
+    REQUIRE(Lost);
+    CHECK(Lost->Written_);
+  }
+}
+
 // Guards against the loss of all calls of a connection through one whose number
 // is too low, as nodes of an earlier version send it: that call is refused, so
 // it does not run, and the others go on.
