--- a/src/Membership/TargetDirectory.cpp
+++ b/src/Membership/TargetDirectory.cpp
@@ -17,14 +17,22 @@
 
 void TargetDirectory::Entry::change(ListedTarget Target, bool Missing,
                                     std::uint64_t Revision) {
-  if (isOlder(Target, Target_))
-    Target = Target_;
   if (Target != Target_ || Missing != Missing_)
     ChangedAt_ = Revision;
   Target_ = std::move(Target);
   Missing_ = Missing;
 }
 
+void TargetDirectory::report(const ListedTarget &Target, bool Ordered) {
+  auto [Position, Inserted] = Entries_.try_emplace(
+      Target.Instance_, Entry{Target, false, ContentRevision_});
+  if (Inserted)
+    return;
+  Entry &Held = Position->second;
+  bool Outdated = !Ordered && isOlder(Target, Held.Target_);
+  Held.change(Outdated ? Held.Target_ : Target, false, ContentRevision_);
+}
+
 void TargetDirectory::advanceTo(std::uint64_t Revision,
                                 std::uint64_t ContentRevision) {
   Revision_ = Revision;
@@ -34,20 +42,18 @@
     ForgottenUpTo_ = ContentRevision_;
 }
 
-void TargetDirectory::apply(std::vector<ListedTarget> Listed, TimePoint Now,
-                            std::uint64_t Revision,
+void TargetDirectory::apply(const std::vector<ListedTarget> &Listed,
+                            TimePoint Now, std::uint64_t Revision,
                             std::uint64_t ContentRevision) {
   if (Revision < Revision_)
     return;
+  bool Ordered = Revision != 0 && Revision >= ContentRevision_;
   advanceTo(Revision, ContentRevision);
   bool KeepMissing = KeepMissingUntil_ && Now < *KeepMissingUntil_;
   std::set<std::string, std::less<>> ListedInstances;
-  for (ListedTarget &Target : Listed) {
+  for (const ListedTarget &Target : Listed) {
     ListedInstances.insert(Target.Instance_);
-    auto [Position, Inserted] = Entries_.try_emplace(
-        Target.Instance_, Entry{Target, false, ContentRevision_});
-    if (!Inserted)
-      Position->second.change(std::move(Target), false, ContentRevision_);
+    report(Target, Ordered);
   }
   for (auto &[Instance, Held] : Entries_)
     if (!ListedInstances.contains(Instance))
@@ -82,14 +88,12 @@
   bool Whole = Changes.Base_ == 0;
   if (Changes.Revision_ <= Revision_ || (!Whole && Changes.Base_ > Revision_))
     return false;
+  bool Ordered = Changes.Revision_ >= ContentRevision_;
   advanceTo(Changes.Revision_, Changes.Revision_);
   std::set<std::string_view> ListedInstances;
   for (const ListedTarget &Target : Changes.Changed_) {
     ListedInstances.insert(Target.Instance_);
-    auto [Position, Inserted] = Entries_.try_emplace(
-        Target.Instance_, Entry{Target, false, ContentRevision_});
-    if (!Inserted)
-      Position->second.change(Target, false, ContentRevision_);
+    report(Target, Ordered);
   }
   std::set<std::string_view> Removed(Changes.Removed_.begin(),
                                      Changes.Removed_.end());
--- a/src/Membership/TargetDirectory.h
+++ b/src/Membership/TargetDirectory.h
@@ -40,10 +40,13 @@
 
   /// Replaces the list by one that includes every change up to Revision; 0 on
   /// platforms without revisions. Ignores a list of an earlier revision than
-  /// the current one, and entries older than the current entry of the same
-  /// instance. The list may also contain changes up to ContentRevision, if that
-  /// is later.
-  void apply(std::vector<ListedTarget> Listed, TimePoint Now,
+  /// the current one. The list may also contain changes up to ContentRevision,
+  /// if that is later.
+  ///
+  /// Revisions order the reports of one instance. Only where they do not tell
+  /// whether the list or the current entry is later, the start time and the
+  /// sequence number of the target decide, which go back if its clock does.
+  void apply(const std::vector<ListedTarget> &Listed, TimePoint Now,
              std::uint64_t Revision = 0, std::uint64_t ContentRevision = 0);
 
   /// Returns the changes after a revision, or the whole list if the removals
@@ -110,6 +113,10 @@
     void change(ListedTarget Target, bool Missing, std::uint64_t Revision);
   };
 
+  /// Sets the report of an instance. Ordered tells that it is not earlier than
+  /// the current one.
+  void report(const ListedTarget &Target, bool Ordered);
+
   /// Sets the revision of the list and of its newest possible content.
   void advanceTo(std::uint64_t Revision, std::uint64_t ContentRevision);
   template <class Predicate> bool removeIf(Predicate Remove);
--- a/unittests/Membership/TargetDirectoryTest.cpp
+++ b/unittests/Membership/TargetDirectoryTest.cpp
@@ -110,6 +110,35 @@
   CHECK_FALSE(Directory_.find({1, 7400})->Leaving_);
 }
 
+// Guards against requests to a target that leaves: it has started again under
+// its name after the clock of its host had jumped back, and the reports of its
+// earlier run hide the present ones.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory orders reports by revision, not by start time") {
+  Directory_.apply({target("a", 1, 2400, 9)}, Now_, 10, 10);
+  TargetDirectory Peer;
+  REQUIRE(Peer.merge(Directory_.changesSince(0)));
+  ListedTarget Leaving = target("a", 1, 1000, 3);
+  Leaving.Leaving_ = true;
+  Directory_.apply({Leaving}, Now_, 14, 14);
+  REQUIRE(Directory_.find({1, 7400}) != nullptr);
+  CHECK(Directory_.find({1, 7400})->Leaving_);
+  REQUIRE(Peer.merge(Directory_.changesSince(Peer.revision())));
+  CHECK(Peer.targets() == Directory_.targets());
+}
+
+// Guards against an earlier report that displaces the current one because its
+// start time is later: the list is assembled from two reads, and the current
+// entry may come from a later revision.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory with content after a list keeps later reports") {
+  ListedTarget Leaving = target("a", 1, 5, 7);
+  Leaving.Leaving_ = true;
+  Directory_.apply({Leaving}, Now_, 10, 14);
+  Directory_.apply({target("a", 1, 5, 6)}, Now_, 12, 12);
+  CHECK(Directory_.find({1, 7400})->Leaving_);
+}
+
 // Guards against a peer that misses a change because the two nodes count
 // revisions differently.
 TEST_CASE_FIXTURE(DirectoryFixture,
