Removals between two lists are passed on to peers

Cause: removals were computed from the two lists that a node held itself.

Change: the source reports what its watch has seen removed, and the directory remembers it; after a whole list, peers at earlier revisions get the whole list as well. Nothing on the wire changes.

--- a/src/Membership/HostListMerger.h
+++ b/src/Membership/HostListMerger.h
@@ -25,6 +25,10 @@
   /// All targets, on platforms that list them; authoritative for target
   /// selection. Empty on platforms that only list hosts.
   std::optional<std::vector<ListedTarget>> Targets_ = {};
+  /// Instances that were removed since the previous list, also those that were
+  /// added after it. Nothing if the source does not know them, because it has
+  /// read the list as a whole.
+  std::optional<std::vector<std::string>> Removed_ = {};
   /// Number of invalid entries since the previous list.
   std::size_t Unusable_ = 0;
   /// Revision of the source up to which Targets_ includes every change; 0 on
--- a/src/Membership/TargetDirectory.cpp
+++ b/src/Membership/TargetDirectory.cpp
@@ -42,9 +42,10 @@
     ForgottenUpTo_ = ContentRevision_;
 }
 
-void TargetDirectory::apply(const std::vector<ListedTarget> &Listed,
-                            TimePoint Now, std::uint64_t Revision,
-                            std::uint64_t ContentRevision) {
+void TargetDirectory::apply(
+    const std::vector<ListedTarget> &Listed, TimePoint Now,
+    std::uint64_t Revision, std::uint64_t ContentRevision,
+    const std::optional<std::vector<std::string>> &Removed) {
   if (Revision < Revision_)
     return;
   bool Ordered = Revision != 0 && Revision >= ContentRevision_;
@@ -63,6 +64,10 @@
   removeIf([&](const Entry &Held) {
     return Held.Missing_ && (!KeepMissing || Held.Target_.Leaving_);
   });
+  if (Removed)
+    rememberRemoved(*Removed);
+  else
+    ForgottenUpTo_ = ContentRevision_;
   rebuildIndex();
 }
 
@@ -102,6 +107,10 @@
     return Removed.contains(Instance) ||
            (Whole && !ListedInstances.contains(Instance));
   });
+  if (Whole)
+    ForgottenUpTo_ = ContentRevision_;
+  else
+    rememberRemoved(Changes.Removed_);
   rebuildIndex();
   return true;
 }
@@ -142,11 +151,18 @@
     Removals_.emplace_back(Pair.first, ContentRevision_);
     return true;
   });
-  for (; Removals_.size() > RemovalsKept_; Removals_.pop_front())
-    ForgottenUpTo_ = Removals_.front().second;
+  rememberRemoved({});
   return Entries_.size() != Before;
 }
 
+void TargetDirectory::rememberRemoved(
+    const std::vector<std::string> &Instances) {
+  for (const std::string &Instance : Instances)
+    Removals_.emplace_back(Instance, ContentRevision_);
+  for (; Removals_.size() > RemovalsKept_; Removals_.pop_front())
+    ForgottenUpTo_ = std::max(ForgottenUpTo_, Removals_.front().second);
+}
+
 const ListedTarget *TargetDirectory::find(const HostId &Node) const {
   auto Position = ByNode_.find(Node);
   return Position == ByNode_.end() ? nullptr : Position->second;
--- a/src/Membership/TargetDirectory.h
+++ b/src/Membership/TargetDirectory.h
@@ -41,13 +41,20 @@
   /// Replaces the list by one that includes every change up to Revision; 0 on
   /// platforms without revisions. Ignores a list of an earlier revision than
   /// the current one. The list may also contain changes up to ContentRevision,
-  /// if that is later.
+  /// if that is later. Removed has the instances that the source has removed
+  /// since the list before; nothing if they are unknown.
+  ///
+  /// A peer may hold an instance that this node never held, because it was
+  /// added and removed between two lists. Such removals are passed on too, or,
+  /// if they are unknown, the whole list.
   ///
   /// Revisions order the reports of one instance. Only where they do not tell
   /// whether the list or the current entry is later, the start time and the
   /// sequence number of the target decide, which go back if its clock does.
   void apply(const std::vector<ListedTarget> &Listed, TimePoint Now,
-             std::uint64_t Revision = 0, std::uint64_t ContentRevision = 0);
+             std::uint64_t Revision = 0, std::uint64_t ContentRevision = 0,
+             const std::optional<std::vector<std::string>> &Removed =
+                 std::vector<std::string>());
 
   /// Returns the changes after a revision, or the whole list if the removals
   /// since then are no longer remembered. The result has Revision_ 0 if there
@@ -120,6 +127,8 @@
   /// Sets the revision of the list and of its newest possible content.
   void advanceTo(std::uint64_t Revision, std::uint64_t ContentRevision);
   template <class Predicate> bool removeIf(Predicate Remove);
+  /// Remembers removals that peers have to learn.
+  void rememberRemoved(const std::vector<std::string> &Instances);
   void rebuildIndex();
 
   std::map<std::string, Entry, std::less<>> Entries_;
--- a/unittests/Membership/TargetDirectoryTest.cpp
+++ b/unittests/Membership/TargetDirectoryTest.cpp
@@ -1,7 +1,11 @@
+#include "../TestSeed.h"
+
 #include "Membership/TargetDirectory.h"
 
 #include <doctest/doctest.h>
 
+#include <array>
+
 namespace marigold::membership {
 namespace {
 
@@ -263,4 +267,132 @@
   CHECK(Directory_.listedTargets()[0].Instance_ == "b");
 }
 
+namespace {
+
+/// The platform's store: the current entries, and its revision.
+struct FakeList {
+  std::map<std::string, ListedTarget> Entries_;
+  std::uint64_t Revision_ = 1;
+  /// All removals: the revision and the instance.
+  std::vector<std::pair<std::uint64_t, std::string>> Removals_;
+
+  std::vector<ListedTarget> targets() const {
+    std::vector<ListedTarget> Targets;
+    for (const auto &[Instance, Target] : Entries_)
+      Targets.push_back(Target);
+    return Targets;
+  }
+
+  /// Instances removed after a revision.
+  Names removedSince(std::uint64_t Revision) const {
+    Names Removed;
+    for (const auto &[RemovedAt, Name] : Removals_)
+      if (RemovedAt > Revision)
+        Removed.push_back(Name);
+    return Removed;
+  }
+
+  /// Changes one entry: a start under the same name, a report or a removal. The
+  /// clocks of hosts jump by up to Jump_ in either direction.
+  void change(Random &Rng) {
+    ++Revision_;
+    std::string Name(1, static_cast<char>('a' + Rng.below(6)));
+    auto Known = Entries_.find(Name);
+    if (Known != Entries_.end() && Rng.chance(0.2)) {
+      Entries_.erase(Known);
+      Removals_.emplace_back(Revision_, Name);
+      return;
+    }
+    bool Starts = Known == Entries_.end() || Rng.chance(0.3);
+    ListedTarget Target =
+        Starts ? DirectoryFixture::target(
+                     Name, static_cast<std::uint32_t>(Name[0]),
+                     static_cast<std::int64_t>(1 + Rng.below(Jump_)))
+               : Known->second;
+    Target.Sequence_ += 1;
+    Target.Leaving_ = !Starts && Rng.chance(0.4);
+    Entries_[Name] = Target;
+  }
+
+  static constexpr std::uint64_t Jump_ = 5000;
+};
+
+} // namespace
+
+// Guards against a target that a peer keeps for good: it was added and removed
+// between two lists of the node that passes the changes on.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "directory passes on the removal of a target it never held") {
+  for (bool Known : {true, false}) {
+    CAPTURE(Known);
+    TargetDirectory Reader;
+    TargetDirectory Other;
+    TargetDirectory Peer;
+    for (TargetDirectory *Node : {&Reader, &Other})
+      Node->apply({target("a", 1)}, Now_, 10, 10);
+    REQUIRE(Peer.merge(Other.changesSince(0)));
+    Other.apply({target("a", 1), target("x", 2)}, Now_, 12, 12);
+    REQUIRE(Peer.merge(Other.changesSince(Peer.revision())));
+    CHECK(Peer.targets().size() == 2);
+    std::optional<std::vector<std::string>> Removed;
+    if (Known)
+      Removed = {"x"};
+    Reader.apply({target("a", 1)}, Now_, 14, 14, Removed);
+    TargetChanges Changes = Reader.changesSince(Peer.revision());
+    CHECK(Changes.Base_ == (Known ? 12U : 0U));
+    REQUIRE(Peer.merge(Changes));
+    CHECK(Peer.targets() == Reader.targets());
+    // The peer passes it on as well.
+    REQUIRE(Other.merge(Peer.changesSince(Other.revision())));
+    CHECK(Other.targets() == Reader.targets());
+  }
+}
+
+// Guards against nodes that do not end on the state of the store. Plays random
+// changes, reads by several nodes and exchanges between them, with clocks that
+// jump under targets that start again under their names.
+TEST_CASE_FIXTURE(
+    DirectoryFixture,
+    "directories end on the list of the store whatever the clocks") {
+  forEachSeed(2000, [&](Random &Rng) {
+    FakeList Store;
+    std::array<TargetDirectory, 3> Nodes;
+    auto Read = [&](TargetDirectory &Node, const FakeList &Seen) {
+      std::optional<std::vector<std::string>> Removed;
+      if (Node.isKnown() && Rng.chance(0.8))
+        Removed = Seen.removedSince(Node.revision());
+      Node.apply(Seen.targets(), Now_, Seen.Revision_, Seen.Revision_, Removed);
+    };
+    FakeList Earlier = Store;
+    for (int Step = 0; Step < 60; ++Step) {
+      TargetDirectory &Node = Nodes[Rng.below(Nodes.size())];
+      switch (Rng.below(6)) {
+      case 0:
+        Read(Node, Store);
+        break;
+      case 1:
+        Read(Node, Earlier);
+        break;
+      case 2:
+        Node.merge(Nodes[Rng.below(Nodes.size())].changesSince(
+            Rng.chance(0.1) ? 0 : Node.revision()));
+        break;
+      case 3:
+        Earlier = Store;
+        break;
+      default:
+        Store.change(Rng);
+      }
+      if (Node.revision() == Store.Revision_)
+        REQUIRE(Node.targets() == Store.targets());
+    }
+    Read(Nodes[0], Store);
+    for (TargetDirectory &Node : Nodes)
+      if (Node.revision() < Store.Revision_)
+        REQUIRE(Node.merge(Nodes[0].changesSince(Node.revision())));
+    for (const TargetDirectory &Node : Nodes)
+      REQUIRE(Node.targets() == Store.targets());
+  });
+}
+
 } // namespace marigold::membership
