--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -16,8 +16,6 @@
 constexpr Duration SyncTimeout = std::chrono::seconds(5);
 /// Minimum interval between probes triggered by failed calls.
 constexpr Duration FailureProbeSpacing = std::chrono::milliseconds(50);
-/// Maximum number of nodes to which a crash notice is sent.
-constexpr std::size_t MaxCrashReceivers = 64;
 
 membership::ProbeOptions probeOptions(const NodeSettings &Settings) {
   membership::ProbeOptions Options;
@@ -583,12 +581,9 @@
 void ControlCore::sendCrashNotice(const CrashNotice &Notice,
                                   ControlEffects &Out) const {
   std::string Data = encodeMessage(Notice);
-  std::size_t Sent = 0;
-  for (const HostId &To : Table_.hostsOfService(Probes_.ownRecord().Service_)) {
-    if (To == Probes_.ownRecord().Id_ || ++Sent > MaxCrashReceivers)
-      continue;
-    Out.Datagrams_.push_back({To, ControlTraffic::Notice, Data});
-  }
+  for (const HostId &To : Table_.hostsOfService(Probes_.ownRecord().Service_))
+    if (To != Probes_.ownRecord().Id_)
+      Out.Datagrams_.push_back({To, ControlTraffic::Notice, Data});
 }
 
 } // namespace marigold::node
