--- a/src/Calls/CrashSuspects.cpp
+++ b/src/Calls/CrashSuspects.cpp
@@ -1,6 +1,14 @@
 #include "Calls/CrashSuspects.h"
 
+#include <map>
+
 namespace marigold::calls {
+namespace {
+
+/// Maximum number of requests in heldBack, which fit into datagrams.
+constexpr std::size_t MaxHeldBack = 64;
+
+} // namespace
 
 bool CrashSuspects::onCrash(std::uint64_t CrashId,
                             std::span<const std::uint64_t> Suspects,
@@ -20,6 +28,7 @@
       continue;
     ++Entry.Crashes_;
     Entry.LastCrash_ = Now;
+    Entry.PreviousCrashId_ = Entry.LastCrashId_;
     Entry.LastCrashId_ = CrashId;
     Entry.InTrial_ = false;
     if (Entry.Crashes_ >= Settings_.CrashThreshold_)
@@ -61,6 +70,23 @@
   return true;
 }
 
+std::vector<CrashRecord> CrashSuspects::heldBack(TimePoint Now) const {
+  std::map<std::uint64_t, std::vector<std::uint64_t>> ByCrash;
+  std::size_t Count = 0;
+  for (const auto &[Fingerprint, Entry] : Suspects_) {
+    if (!isHeldBack(Fingerprint, Now))
+      continue;
+    if (++Count > MaxHeldBack)
+      break;
+    ByCrash[Entry.PreviousCrashId_].push_back(Fingerprint);
+    ByCrash[Entry.LastCrashId_].push_back(Fingerprint);
+  }
+  std::vector<CrashRecord> Crashes;
+  for (auto &[Id, Fingerprints] : ByCrash)
+    Crashes.push_back({Id, std::move(Fingerprints)});
+  return Crashes;
+}
+
 void CrashSuspects::expire(TimePoint Now) {
   while (!ByAge_.empty() && Now - ByAge_.front().first >= Settings_.Retention_)
     dropOldest();
--- a/src/Calls/CrashSuspects.h
+++ b/src/Calls/CrashSuspects.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace marigold::calls {
 
@@ -26,6 +27,12 @@
   std::size_t MaxCrashIds_ = 1024;
 };
 
+/// A crash of a target's process and requests that were in progress on it.
+struct CrashRecord {
+  std::uint64_t Id_ = 0;
+  std::vector<std::uint64_t> Fingerprints_;
+};
+
 /// Detects requests that crash their targets and holds them back. All requests
 /// in progress when a target's process crashes are suspects, because it is
 /// unknown which one caused the crash. A completed run clears a request, so
@@ -58,6 +65,12 @@
   /// or another hold time has passed.
   [[nodiscard]] bool admit(std::uint64_t Fingerprint, TimePoint Now);
 
+  /// The crashes because of which requests are held back at this time, with
+  /// these requests only. Another node that records them as crashes holds the
+  /// same requests back. The number of requests is limited, and so that of
+  /// crashes.
+  std::vector<CrashRecord> heldBack(TimePoint Now) const;
+
   /// Drops suspects and crash ids after the retention time.
   void expire(TimePoint Now);
 
@@ -69,6 +82,8 @@
     unsigned Crashes_ = 0;
     TimePoint LastCrash_;
     std::uint64_t LastCrashId_ = 0;
+    /// Id of the crash before the last one, if there are two.
+    std::uint64_t PreviousCrashId_ = 0;
     TimePoint HeldUntil_;
     bool InTrial_ = false;
   };
--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -2,8 +2,10 @@
 
 #include "Support/Addresses.h"
 #include "Support/Archive.h"
+#include "Support/Digest.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigold::node {
 namespace {
@@ -14,6 +16,9 @@
 constexpr std::size_t PeersProbedAfterPause = 3;
 /// Timeout of a SyncRequest.
 constexpr Duration SyncTimeout = std::chrono::seconds(5);
+/// Number of nodes that tell a started node of their service which requests are
+/// held back. Some of them may have started as well and know none.
+constexpr std::size_t InformingPeers = 5;
 /// Minimum interval between probes triggered by failed calls.
 constexpr Duration FailureProbeSpacing = std::chrono::milliseconds(50);
 
@@ -369,6 +374,34 @@
     Out.ConnectionsToDrop_.push_back(Record.Id_);
   if (!Action.Previous_ || *Action.Previous_ != Record.State_)
     Out.Hosts_.push_back({Record, false});
+  if (hasStarted(Record) && informsPeer(Record.Id_))
+    Out.StartedPeers_.push_back(Record.Id_);
+}
+
+bool ControlCore::hasStarted(const HostRecord &Record) {
+  if (Record.Id_ == Probes_.ownRecord().Id_ || Record.Service_.empty() ||
+      Record.Service_ != Probes_.ownRecord().Service_)
+    return false;
+  if (membership::isTombstone(Record.State_)) {
+    PeerIncarnations_.erase(Record.Id_);
+    return false;
+  }
+  // An entry of the host list has incarnation 0: the host has not been heard
+  // from, and cannot be told anything yet.
+  std::uint64_t &Known = PeerIncarnations_[Record.Id_];
+  return std::exchange(Known, Record.Incarnation_) != Record.Incarnation_ &&
+         Record.Incarnation_ != 0;
+}
+
+bool ControlCore::informsPeer(const HostId &Started) const {
+  auto Rank = [&](const HostId &Id) {
+    return mixHash(HostIdHash{}(Id), HostIdHash{}(Started));
+  };
+  std::uint64_t Own = Rank(Probes_.ownRecord().Id_);
+  auto Before = std::ranges::count_if(
+      Table_.hostsOfService(Probes_.ownRecord().Service_),
+      [&](const HostId &Id) { return Id != Started && Rank(Id) < Own; });
+  return static_cast<std::size_t>(Before) < InformingPeers;
 }
 
 void ControlCore::apply(const membership::SuspicionRaised &Action, TimePoint,
@@ -586,4 +619,11 @@
       Out.Datagrams_.push_back({To, ControlTraffic::Notice, Data});
 }
 
+void ControlCore::repeatCrashNotices(const std::vector<CrashNotice> &Notices,
+                                     const HostId &To, ControlEffects &Out) {
+  for (const CrashNotice &Notice : Notices)
+    Out.Datagrams_.push_back(
+        {To, ControlTraffic::Notice, encodeMessage(Notice)});
+}
+
 } // namespace marigold::node
--- a/src/Node/ControlCore.h
+++ b/src/Node/ControlCore.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace marigold::node {
@@ -127,6 +128,10 @@
   /// Sends a crash notice to the other nodes of this node's service.
   void sendCrashNotice(const CrashNotice &Notice, ControlEffects &Out) const;
 
+  /// Sends crash notices to one node, which has started after these crashes.
+  static void repeatCrashNotices(const std::vector<CrashNotice> &Notices,
+                                 const HostId &To, ControlEffects &Out);
+
   /// Returns the hosts of a service with the states used for load balancing.
   /// If the platform lists targets, that list determines which targets exist
   /// and which are leaving, and the host table determines which of their nodes
@@ -236,6 +241,11 @@
   void onPeerSummary(const HostId &Peer, std::string_view FailureDomain,
                      const NodeSummary &Summary, TimePoint Now,
                      ControlEffects &Out);
+  /// Whether a changed record shows that another node of this node's service
+  /// has started since its last record.
+  bool hasStarted(const HostRecord &Record);
+  /// Whether this node is one of those that inform a started node.
+  bool informsPeer(const HostId &Started) const;
   /// Sends a host's state by datagram to nodes whose services depend on the
   /// service of that host.
   void sendHostStateNotices(const HostRecord &Record, TimePoint Now,
@@ -287,6 +297,8 @@
   /// to any of them makes the host table usable again.
   std::map<std::uint32_t, TimePoint> ProbesAfterPause_;
   std::vector<CrashNotice> CrashNotices_;
+  /// Incarnations of the other nodes of this node's service.
+  std::unordered_map<HostId, std::uint64_t, HostIdHash> PeerIncarnations_;
   std::uint64_t HostsGeneration_ = 1;
   bool SourceOnly_ = false;
   /// Whether bootstrap requested the text fetch in flight.
--- a/src/Node/ControlEffects.h
+++ b/src/Node/ControlEffects.h
@@ -81,6 +81,9 @@
   std::vector<AdoptedEvent> Adopted_;
   std::vector<RefusedEvent> Refused_;
   std::vector<HostEvent> Hosts_;
+  /// Nodes of this node's service that have started and are to be told which
+  /// requests are held back.
+  std::vector<HostId> StartedPeers_;
   /// One entry when bootstrap completes: true if no peer held a version.
   std::vector<bool> BootstrapDone_;
   /// Whether ControlCore::ownTarget() changed.
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -76,10 +76,12 @@
 void ControlPlane::attach(
     ControlConnections Connections,
     std::function<void(const CrashNotice &)> OnCrashNotice,
-    std::function<void(const OwnTarget &)> OnOwnTarget) {
+    std::function<void(const OwnTarget &)> OnOwnTarget,
+    std::function<std::vector<CrashNotice>()> HeldBack) {
   Connections_.emplace(Connections);
   OnCrashNotice_ = std::move(OnCrashNotice);
   OnOwnTarget_ = std::move(OnOwnTarget);
+  HeldBack_ = std::move(HeldBack);
 }
 
 void ControlPlane::setOwnService(const std::string &Service) {
@@ -140,6 +142,22 @@
     OnOwnTarget_(Own);
   for (const CrashNotice &Notice : Crashes)
     OnCrashNotice_(Notice);
+  if (!Effects.StartedPeers_.empty())
+    informStartedPeers(Effects.StartedPeers_);
+}
+
+void ControlPlane::informStartedPeers(const std::vector<HostId> &Peers) {
+  std::vector<CrashNotice> Notices = HeldBack_();
+  if (Notices.empty())
+    return;
+  ControlEffects Effects;
+  for (const HostId &Peer : Peers) {
+    ControlCore::repeatCrashNotices(Notices, Peer, Effects);
+    logEvent(
+        LogLevel::Info, "crash_notices_repeated",
+        {{"peer", toText(Peer)}, {"crashes", std::to_string(Notices.size())}});
+  }
+  applyEffects(Effects);
 }
 
 void ControlPlane::publish(std::shared_ptr<const config::Snapshot> Adopted) {
--- a/src/Node/ControlPlane.h
+++ b/src/Node/ControlPlane.h
@@ -49,11 +49,13 @@
   ControlPlane(const ControlPlane &) = delete;
   ControlPlane &operator=(const ControlPlane &) = delete;
 
-  /// Sets the peer connections and the callbacks for crash notices and changes
-  /// of ownTarget(). Call once before start().
+  /// Sets the peer connections, the callbacks for crash notices and changes of
+  /// ownTarget(), and the function that returns the crashes because of which
+  /// requests are held back. Call once before start().
   void attach(ControlConnections Connections,
               std::function<void(const CrashNotice &)> OnCrashNotice,
-              std::function<void(const OwnTarget &)> OnOwnTarget);
+              std::function<void(const OwnTarget &)> OnOwnTarget,
+              std::function<std::vector<CrashNotice>()> HeldBack);
 
   /// Applies a changed service name from the settings to the target on this
   /// host.
@@ -102,6 +104,8 @@
   /// Makes an adopted snapshot available to the request path.
   void publish(std::shared_ptr<const config::Snapshot> Adopted);
   void applyEffects(const ControlEffects &Effects);
+  /// Tells nodes that have started which requests are held back.
+  void informStartedPeers(const std::vector<HostId> &Peers);
   /// Writes log events and metrics for effects.
   void report(const ControlEffects &Effects);
   void sendSync(const OutgoingSync &Sync);
@@ -140,6 +144,7 @@
   std::optional<ControlConnections> Connections_;
   std::function<void(const CrashNotice &)> OnCrashNotice_;
   std::function<void(const OwnTarget &)> OnOwnTarget_;
+  std::function<std::vector<CrashNotice>()> HeldBack_;
   /// Whether the most recent call to the source failed.
   std::atomic<bool> SourceFailing_{false};
 };
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -40,8 +40,8 @@
   if (List.Targets_) {
     if (List.Revision_ >= Directory_.revision())
       ListConfigRevision_ = List.ConfigRevision_;
-    Directory_.apply(*List.Targets_, Now, List.Revision_,
-                     List.ContentRevision_, List.Removed_);
+    Directory_.apply(*List.Targets_, Now, List.Revision_, List.ContentRevision_,
+                     List.Removed_);
     onTargetsChanged(Out);
   }
   apply(Probes_.onListed(ListMerger_.apply(List, Table_), Now), Now, Out);
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -101,7 +101,8 @@
     Control_.attach(
         {CallPool_, SyncPool_, Server_},
         [this](const CrashNotice &Notice) { Target_.onCrashNotice(Notice); },
-        [this](const OwnTarget &Own) { Target_.onOwnTarget(Own); });
+        [this](const OwnTarget &Own) { Target_.onOwnTarget(Own); },
+        [this] { return Target_.heldBackCrashes(); });
     Admin_.setStatus(
         [this](bool WithHosts) { return Control_.statusJson(WithHosts); });
     Admin_.setDrain([this] { drain("request"); });
--- a/src/Node/TargetHealth.cpp
+++ b/src/Node/TargetHealth.cpp
@@ -204,6 +204,15 @@
                           std::chrono::steady_clock::now());
 }
 
+std::vector<CrashNotice> TargetProxy::Impl::heldBackCrashes() {
+  std::string Service = ownTarget().Service_;
+  std::vector<CrashNotice> Notices;
+  std::lock_guard Lock(Keys_.Mutex_);
+  for (auto &Crash : Keys_.Suspects_.heldBack(std::chrono::steady_clock::now()))
+    Notices.push_back({Crash.Id_, Service, std::move(Crash.Fingerprints_)});
+  return Notices;
+}
+
 void TargetProxy::Impl::onOwnTarget(const OwnTarget &Own) {
   admission::AdmissionActions Actions;
   bool NewInstance = false;
--- a/src/Node/TargetProxy.cpp
+++ b/src/Node/TargetProxy.cpp
@@ -398,6 +398,10 @@
   Impl_->onCrashNotice(Notice);
 }
 
+std::vector<CrashNotice> TargetProxy::heldBackCrashes() {
+  return Impl_->heldBackCrashes();
+}
+
 LoadReport TargetProxy::load() const { return Impl_->load(); }
 
 bool TargetProxy::targetUp() const {
--- a/src/Node/TargetProxy.h
+++ b/src/Node/TargetProxy.h
@@ -72,6 +72,10 @@
   /// reported by another node of the service.
   void onCrashNotice(const CrashNotice &Notice);
 
+  /// Returns the crashes because of which requests are held back, for a node of
+  /// the service that has started after them.
+  std::vector<CrashNotice> heldBackCrashes();
+
   /// Current load, for the status page.
   LoadReport load() const;
 
--- a/src/Node/TargetProxyImpl.h
+++ b/src/Node/TargetProxyImpl.h
@@ -97,6 +97,7 @@
   void start();
   void drain(std::function<void()> Done);
   void onCrashNotice(const CrashNotice &Notice);
+  std::vector<CrashNotice> heldBackCrashes();
   void onOwnTarget(const OwnTarget &Own);
   void stop();
   void onConnectFailed();
--- a/unittests/Calls/CrashSuspectsTest.cpp
+++ b/unittests/Calls/CrashSuspectsTest.cpp
@@ -52,6 +52,58 @@
   CHECK_FALSE(Table_.isHeldBack(11, Now_));
 }
 
+// Guards against a node that passes on a request which the other nodes of its
+// service hold back, because it has started after the crashes, and against one
+// that then holds back harmless requests. Plays random crashes and completions
+// at one node and informs another one, which has heard of some crashes itself.
+TEST_CASE_FIXTURE(CrashSuspectsFixture,
+                  "informed node holds the same requests back") {
+  forEachSeed(500, [&](Random &Rng) {
+    CrashSuspects Known(Settings_);
+    CrashSuspects Started(Settings_);
+    // The same without being informed.
+    CrashSuspects Alone(Settings_);
+    constexpr std::uint64_t Requests = 12;
+    for (std::uint64_t Crash = 1; Crash <= 12; ++Crash) {
+      std::vector<std::uint64_t> Running;
+      for (std::uint64_t Request = 0; Request < Requests; ++Request)
+        if (Rng.chance(0.3))
+          Running.push_back(Request);
+      Known.onCrash(Crash, Running, Now_);
+      if (Crash > 10 && Rng.chance(0.5)) {
+        Started.onCrash(Crash, Running, Now_);
+        Alone.onCrash(Crash, Running, Now_);
+      }
+      for (std::uint64_t Request = 0; Request < Requests; ++Request)
+        if (Rng.chance(0.2))
+          Known.onCompleted(Request);
+      Now_ += Rng.upTo(seconds(10));
+    }
+    for (const CrashRecord &Crash : Known.heldBack(Now_))
+      Started.onCrash(Crash.Id_, Crash.Fingerprints_, Now_);
+    for (std::uint64_t Request = 0; Request < Requests; ++Request)
+      if (Known.isHeldBack(Request, Now_))
+        CHECK(Started.isHeldBack(Request, Now_));
+      else
+        CHECK(Started.isHeldBack(Request, Now_) ==
+              Alone.isHeldBack(Request, Now_));
+  });
+}
+
+// Guards against notices without end about very many requests.
+TEST_CASE_FIXTURE(CrashSuspectsFixture, "held back requests are limited") {
+  std::vector<std::uint64_t> Running;
+  for (std::uint64_t Request = 0; Request < 1000; ++Request)
+    Running.push_back(Request);
+  crash(1, Running);
+  CHECK(Table_.heldBack(Now_).empty());
+  crash(2, Running);
+  auto Crashes = Table_.heldBack(Now_);
+  REQUIRE(Crashes.size() == 2);
+  CHECK(Crashes[0].Fingerprints_.size() == 64);
+  CHECK(Table_.heldBack(Now_ + Settings_.HoldTime_).empty());
+}
+
 // Guards against several concurrent runs of a request that crashes targets, and
 // against a request that is held back forever.
 TEST_CASE_FIXTURE(CrashSuspectsFixture, "one trial runs after the hold") {
--- a/unittests/Control/CrashNoticeTest.cpp
+++ b/unittests/Control/CrashNoticeTest.cpp
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <set>
+
 namespace marigold::node {
 namespace {
 
@@ -53,4 +56,49 @@
   }
 }
 
+// Guards against a request that crashes targets again after a rolling restart,
+// since the nodes that held it back have forgotten it, and against a flood of
+// notices from every node of a large service to each node that starts.
+TEST_CASE_FIXTURE(CrashNoticeFixture,
+                  "few nodes inform a node of the service that has started") {
+  for (unsigned Hosts : {3U, 65U, 300U}) {
+    CAPTURE(Hosts);
+    const unsigned Started = Hosts / 2;
+    unsigned Informing = 0;
+    for (unsigned Own = 1; Own <= Hosts; ++Own) {
+      if (Own == Started)
+        continue;
+      NodeSettings Settings;
+      Settings.Service_ = "desk";
+      ControlCore Core(Settings, record(Own), 1, now());
+      ControlEffects Joined;
+      for (unsigned Number = 1; Number <= Hosts; ++Number)
+        if (Number != Own)
+          Core.onHello(record(Number), now(), Joined);
+      ControlEffects Again;
+      Core.onHello(record(Started), now(), Again);
+      CHECK(Again.StartedPeers_.empty());
+      ControlEffects Restarted;
+      Core.onHello(record(Started, 2), now(), Restarted);
+      if (Restarted.StartedPeers_.empty())
+        continue;
+      CHECK(Restarted.StartedPeers_ ==
+            std::vector<HostId>{record(Started).Id_});
+      ++Informing;
+    }
+    CHECK(Informing >= std::min(Hosts - 1, 3U));
+    CHECK(Informing <= 5);
+  }
+}
+
+TEST_CASE_FIXTURE(CrashNoticeFixture,
+                  "node of another service is not informed of crashes") {
+  add(1, "domain-1");
+  HostRecord Other = record(7);
+  Other.Service_ = "shelf";
+  ControlEffects Out;
+  node(1).Core_->onHello(Other, now(), Out);
+  CHECK(Out.StartedPeers_.empty());
+}
+
 } // namespace marigold::node
