--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -240,6 +240,8 @@
   RouteName_ = Request_.Host_ + Route->Prefix_;
   Start_.Kind_ = static_cast<std::uint32_t>(hash64(RouteName_));
   Start_.Routed_ = true;
+  if (Parts.BeforeCall_)
+    Parts.BeforeCall_();
   Start_.Caller_ = Parts.Environment_.ownTarget().ConfiguredService_;
   Start_.Method_ = Request_.Method_;
   Start_.Path_ = Request_.Target_;
--- a/src/Node/CallerProxy.h
+++ b/src/Node/CallerProxy.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 
 namespace marigold::node {
@@ -30,6 +31,9 @@
   MetricsRegistry &Metrics_;
   const NodeSettings &Settings_;
   const HttpHeaderNames &HeaderNames_ = defaultHeaderNames();
+  /// Called before the service of this host is read for a call, which may have
+  /// changed; may be null.
+  std::function<void()> BeforeCall_ = nullptr;
 };
 
 /// Receives HTTP requests from callers, chooses targets, sends the calls to the
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -8,6 +8,7 @@
 #include "Node/TargetProxy.h"
 #include "Support/Addresses.h"
 #include "Support/Digest.h"
+#include "Support/FileStamp.h"
 #include "Support/LinkRate.h"
 #include "Support/Log.h"
 
@@ -17,6 +18,8 @@
 #include <boost/asio/strand.hpp>
 
 #include <csignal>
+#include <mutex>
+#include <optional>
 #include <random>
 #include <thread>
 #include <vector>
@@ -30,8 +33,7 @@
 constexpr Duration SyncIdleTimeout = std::chrono::seconds(5);
 /// Interval at which a draining node checks whether all calls have ended.
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
-/// Interval at which the settings file is read again. A changed service takes
-/// about this long to become known to callers.
+/// Interval at which the settings file is read again on a host without calls.
 constexpr Duration SettingsInterval = std::chrono::seconds(1);
 /// Margin between the end of draining and the time at which the platform kills
 /// a stopping process.
@@ -93,7 +95,8 @@
         SyncPool_(Io_, Dispatcher_, syncOptions(), SeedGenerator_.next()),
         Caller_({Io_, Control_, CallPool_,
                  Settings_.Service_.empty() ? nullptr : &Target_, Metrics_,
-                 Settings_, Adapter_.HeaderNames_},
+                 Settings_, Adapter_.HeaderNames_,
+                 [this] { reloadChangedSettings(); }},
                 SeedGenerator_.next()),
         Admin_(Io_, Metrics_), ReadyServer_(Io_, Metrics_) {}
 
@@ -201,9 +204,27 @@
     });
   }
 
+  /// Reloads the settings if the file has changed. A call must not bear the
+  /// service that ran on this host before.
+  void reloadChangedSettings() {
+    if (!ReloadSettings_)
+      return;
+    std::lock_guard Lock(SettingsMutex_);
+    auto Stamp = stampOf(Settings_.SettingsFile_);
+    if (std::exchange(SettingsStamp_, Stamp) != Stamp)
+      readSettings();
+  }
+
   void reloadSettings() {
     if (!ReloadSettings_)
       return;
+    std::lock_guard Lock(SettingsMutex_);
+    SettingsStamp_ = stampOf(Settings_.SettingsFile_);
+    readSettings();
+  }
+
+  /// Requires SettingsMutex_.
+  void readSettings() {
     auto Reloaded = ReloadSettings_();
     if (!Reloaded) {
       if (std::exchange(SettingsError_, Reloaded.error().Detail_) !=
@@ -327,10 +348,12 @@
   NodeSettings Settings_;
   const PlatformAdapter Adapter_;
   const SettingsReader ReloadSettings_;
-  /// Service named in the settings file, and the last error of reading the
-  /// file. Accessed only on SettingsStrand_, by one thread at a time.
+  std::mutex SettingsMutex_;
+  /// Service named in the settings file, the last error of reading the file,
+  /// and the stamp of the file when it was read. Require SettingsMutex_.
   std::string Service_;
   std::string SettingsError_;
+  std::optional<FileStamp> SettingsStamp_;
   HostRecord Own_;
   Random SeedGenerator_;
   MetricsRegistry Metrics_;
--- a/unittests/Node/MeshFixture.cpp
+++ b/unittests/Node/MeshFixture.cpp
@@ -37,6 +37,8 @@
   OwnTarget Own;
   std::lock_guard Lock(View_.Mutex_);
   Own.Service_ = Own.ConfiguredService_ = Own_.Service_;
+  if (!ConfiguredService_.empty())
+    Own.ConfiguredService_ = ConfiguredService_;
   Own.Instance_ = Instance_;
   return Own;
 }
@@ -115,7 +117,11 @@
   Callers_ = std::make_unique<CallerProxy>(
       CallerProxyParts{Io, Environment_, *Peers_,
                        Service.empty() ? nullptr : Target_.get(), Metrics_,
-                       Settings_, View.HeaderNames_},
+                       Settings_, View.HeaderNames_,
+                       [this] {
+                         if (BeforeCall_)
+                           BeforeCall_();
+                       }},
       3);
   REQUIRE(Callers_->listen({Loopback, 0}));
   Target_->start();
--- a/unittests/Node/MeshFixture.h
+++ b/unittests/Node/MeshFixture.h
@@ -44,6 +44,8 @@
   SharedView &View_;
   HostRecord Own_;
   std::string Instance_;
+  /// Service named in the settings if it differs from the listed one.
+  std::string ConfiguredService_;
   std::atomic<CallGate> Gate_ = CallGate::Open;
   std::atomic<int> Failures_ = 0;
   /// While false, changes of the own state are not added to the shared host
@@ -84,6 +86,7 @@
   FakeEnvironment Environment_;
   MetricsRegistry Metrics_;
   NodeSettings Settings_;
+  std::function<void()> BeforeCall_;
   ForwardingHandler Handler_;
   std::unique_ptr<transport::PeerServer> Server_;
   std::unique_ptr<transport::PeerConnectionPool> Peers_;
--- a/unittests/Node/RoutedCallTest.cpp
+++ b/unittests/Node/RoutedCallTest.cpp
@@ -120,6 +120,26 @@
   CHECK(statusOf(call(Node, "GET", "/other/1")) == 404);
 }
 
+// Guards against a call that names the service which ran on its host before:
+// the settings have just changed, and no signal has told the node.
+TEST_CASE_FIXTURE(RoutedCallFixture,
+                  "routed call names the service of the current settings") {
+  Waiter<HttpRequest> Got;
+  TestNode &Node =
+      addTarget([&](HttpRequest Request, std::shared_ptr<HttpExchange> Out) {
+        Out->respond(signedAnswer(Request));
+        Got.set(std::move(Request));
+      });
+  Node.BeforeCall_ = [&] {
+    std::lock_guard Lock(View_.Mutex_);
+    Node.Environment_.ConfiguredService_ = "shelf";
+  };
+  CHECK(statusOf(call(Node, "POST", "/visits/9")) == 200);
+  auto Request = Got.take();
+  REQUIRE(Request);
+  CHECK(findHeader(Request->Headers_, "x-caller") == "shelf");
+}
+
 // Guards against requests of a host without routes that are run by the service
 // of the same name, to which no version sent them, and without the service of
 // their caller. Versions drop and add the routes of hosts whose names are those
