--- a/unittests/Distribution/WatchMonitorTest.cpp
+++ b/unittests/Distribution/WatchMonitorTest.cpp
@@ -16,7 +16,7 @@
 struct WatchMonitorFixture {
   WatchVerdict probe(milliseconds At, std::uint64_t Source,
                      std::uint64_t Known) {
-    return Monitor_.onProbe(Source, Known, TimePoint() + At);
+    return Monitor_.onProbe(Source, Known, false, TimePoint() + At);
   }
 
   WatchMonitor Monitor_;
@@ -30,7 +30,7 @@
   CHECK(probe(milliseconds(0), 7, 7) == WatchVerdict::Current);
   CHECK(probe(milliseconds(500), 8, 7) == WatchVerdict::Behind);
   CHECK(probe(milliseconds(1000), 8, 7) == WatchVerdict::Lost);
-  Monitor_.onStarted();
+  Monitor_.onStarted(TimePoint() + milliseconds(1000));
   CHECK(probe(milliseconds(1500), 8, 7) == WatchVerdict::Behind);
   CHECK(probe(milliseconds(2000), 8, 8) == WatchVerdict::Current);
 }
@@ -60,7 +60,9 @@
 TEST_CASE("watch monitor finds each lost response") {
   constexpr milliseconds ProbeInterval{500};
   constexpr milliseconds Delay{20};
-  constexpr milliseconds MaxStale{2000};
+  // Far older than the time within which a change must be known.
+  constexpr milliseconds MaxStale{20'000};
+  constexpr milliseconds Bound{3000};
   constexpr milliseconds LossEnds{30'000};
   constexpr milliseconds End{60'000};
   forEachSeed(200, [&](Random &Rng) {
@@ -78,6 +80,7 @@
       return At < LossEnds && Rng.below(100) < 35;
     };
     std::uint64_t Known = 0;
+    std::uint64_t Reported = 0;
     bool WatchLives = true;
     milliseconds NextProbe = ProbeInterval;
     milliseconds Arrives = End;
@@ -91,25 +94,28 @@
       if (At >= Arrives) {
         Arrives = End;
         Known = Newest;
-        Monitor.onStarted();
+        Monitor.onStarted(TimePoint() + At);
       }
       if (At < NextProbe)
         continue;
       NextProbe = At + ProbeInterval;
       if (Loses(At))
         continue;
+      bool Fresh = Monitor.needsFreshProbe(TimePoint() + At);
       auto Stale = milliseconds(Rng.below(
           static_cast<std::uint64_t>(std::min(At, MaxStale).count()) + 1));
-      std::uint64_t Source = RevisionAt(At - Stale);
-      WatchVerdict Verdict = Monitor.onProbe(Source, Known, TimePoint() + At);
-      CHECK((Verdict == WatchVerdict::Current) == (Source <= Known));
+      std::uint64_t Source = Fresh ? Newest : RevisionAt(At - Stale);
+      Reported = std::max(Reported, Source);
+      WatchVerdict Verdict =
+          Monitor.onProbe(Source, Known, Fresh, TimePoint() + At);
+      CHECK((Verdict == WatchVerdict::Current) == (Reported <= Known));
       if (Verdict == WatchVerdict::Lost) {
         CHECK_FALSE(WatchLives);
         WatchLives = true;
-        Monitor.onStarted();
+        Monitor.onStarted(TimePoint() + At);
       }
-      if (At > LossEnds + MaxStale + 4 * ProbeInterval)
-        REQUIRE(Known >= RevisionAt(At - MaxStale - 4 * ProbeInterval));
+      if (At > LossEnds + Bound)
+        REQUIRE(Known >= RevisionAt(At - Bound));
     }
   });
 }
