Soak: callers that leave while large answers are on their way

One caller a host asks for 1.5 MB, which takes 60 ms on a link of 200 Mbit/s, and leaves within that time; after the load no node may hold bytes for another one (held_bytes).

--- a/tools/lib/soak.py
+++ b/tools/lib/soak.py
@@ -30,6 +30,10 @@
 HOSTS, DOMAINS = 6, 3
 PROXIED_CALLER_PORT, PROXIED_TARGET_PORT = 7481, 8081
 SLOW_CALLERS = 8  # For each host.
+LINK_MBPS = 200  # At this rate a large answer takes 60 ms.
+LARGE_ANSWER = 1_500_000  # Bytes; several windows of a stream between nodes.
+# Time in seconds until nothing is held for callers that have left.
+RELEASE_SECONDS = 30
 RATE = 150  # Calls per second; less than half the capacity of the targets.
 # Time within which a node exits after a signal (setting drain-limit).
 STOP_SECONDS = 30
@@ -47,10 +51,11 @@
 FAULT_EVENTS = RECORDED_FAULT_EVENTS + ["endless-head", "endless-fields",
                                         "endless-body", "endless-chunks"]
 LINKS = ["callers", "target"]
+EGRESS_BACKLOG = "egress_backlog_bytes"
 # Counters of violated guarantees; the soak fails if any of them is not zero.
 VIOLATION_COUNTERS = ["doubled", "false_not_run", "lost_answers", "crossed",
                       "regressions", "cut_by_drain", "not_settled",
-                      "over_memory", "ended_alone"]
+                      "over_memory", "ended_alone", "held_bytes"]
 # Memory of the smallest hosts in KB.
 MEMORY_LIMIT = 88 * 1024
 
@@ -135,6 +140,24 @@
                 time.sleep(0.05)
 
 
+class LeavingCaller(DrainWatcher):
+    """Leaves while large answers are on their way between nodes."""
+
+    def run(self):
+        rng = random.Random(self.name)
+        while not self.stopped.is_set():
+            try:
+                with socket.create_connection((self.address, CALLER_PORT),
+                                              timeout=10) as connection:
+                    connection.sendall(
+                        f"GET /read?bytes={LARGE_ANSWER} HTTP/1.1\r\n"
+                        "Host: service-0\r\n\r\n".encode())
+                    self.stopped.wait(rng.uniform(0, 0.06))
+            except OSError:
+                pass
+            self.stopped.wait(0.05)
+
+
 def handles_sighup(process):
     """Returns whether the process ignores or catches SIGHUP at this moment."""
     bit = 1 << (signal.SIGHUP - 1)
@@ -188,7 +211,8 @@
     def start_node(self, host):
         self.mesh.start_node(
             host, target_address=f"{host.ip}:{PROXIED_TARGET_PORT}",
-            source_address=f"{self.mesh.subnet}.250.249:8500")
+            source_address=f"{self.mesh.subnet}.250.249:8500",
+            link_mbps=LINK_MBPS)
 
     def publish(self):
         self.version += 1
@@ -307,7 +331,9 @@
         watchers += [SlowCaller(host.ip, f"{self.seed}.{number}")
                      for host in self.mesh.hosts
                      for number in range(SLOW_CALLERS)]
-        for watcher in watchers:
+        leaving = [LeavingCaller(host.ip, self.seed)
+                   for host in self.mesh.hosts]
+        for watcher in watchers + leaving:
             watcher.start()
         begin = time.monotonic()
         unanswered = []
@@ -323,6 +349,7 @@
                 submitted.append(pool.submit(self.run_event, event))
             for event in submitted:
                 event.result()
+        self.stop_watchers(leaving)
         result = {"events": len(self.events)}
         result["not_settled"] = self.count_unsettled_hosts()
         figures = finish_load(load, self.seconds + 60)
@@ -338,6 +365,7 @@
         result["cut_by_drain"] = self.count_executed(unanswered)
         for host in self.mesh.hosts:
             self.check_process(host)
+        result["held_bytes"] = self.count_held_bytes()
         result["peak_mb"] = self.peak_memory // 1024
         result["over_memory"] = self.over_memory
         result["ended_alone"] = self.ended_alone
@@ -367,6 +395,17 @@
                 count += 1
         return count
 
+    def count_held_bytes(self):
+        """Returns how many bytes nodes still hold to send to other nodes."""
+        def held():
+            return sum(int(self.mesh.metric(host, EGRESS_BACKLOG))
+                       for host in self.mesh.hosts)
+        try:
+            wait_until(lambda: held() == 0, RELEASE_SECONDS, "no bytes held")
+        except StepFailed:
+            return held()
+        return 0
+
     def count_executed(self, requests):
         """Returns how many of the requests were executed by a target."""
         ran = {line.split()[1] for host in self.mesh.hosts
