Settings can be read again within a refusal that they cause

A changed service refuses waiting calls; the answer to one may let the next call of its connection begin on the same thread, which compares the stamp of the settings file again. Found by reading; no test plays it.

--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -348,7 +348,9 @@
   NodeSettings Settings_;
   const PlatformAdapter Adapter_;
   const SettingsReader ReloadSettings_;
-  std::mutex SettingsMutex_;
+  /// Recursive, because a changed service refuses waiting calls, whose callers'
+  /// next calls may begin on the same thread.
+  std::recursive_mutex SettingsMutex_;
   /// Service named in the settings file, the last error of reading the file,
   /// and the stamp of the file when it was read. Require SettingsMutex_.
   std::string Service_;
