Tests of paced connections destroy the pacer before its io_context

Eleven new tests of Transport failed under the address sanitizer: the options of the fixture, which hold the pacer and so a timer, were destroyed after the io_context. The product destroys them in the other order.

--- a/unittests/Transport/PeerFixture.h
+++ b/unittests/Transport/PeerFixture.h
@@ -178,13 +178,14 @@
     return [&Got](StreamResult Value) { Got.set(std::move(Value)); };
   }
 
+  // Destroyed last: the pacers in the options have timers.
+  IoThreads Threads_;
   MetricsRegistry Metrics_;
   PeerOptions ServerOptions_;
   PeerOptions PoolOptions_;
   PeerPoolLimits PoolLimits_;
   TestHandler Served_;
   TestHandler Local_;
-  IoThreads Threads_;
   std::optional<PeerServer> Server_;
   std::optional<PeerConnectionPool> Pool_;
 };
