--- a/src/Distribution/SourceReader.cpp
+++ b/src/Distribution/SourceReader.cpp
@@ -222,7 +222,10 @@
 void SourceReader::scheduleFetch(TimePoint Now) {
   if (FetchAt_ || FetchRunning_ || isHandled(SeenIndex_))
     return;
-  if (Options_.Mode_ == SourceMode::EveryNode) {
+  // A takeover at once shows that the readers are silent, so there is nobody
+  // whose fetch is worth waiting for.
+  if (Options_.Mode_ == SourceMode::EveryNode ||
+      Role_ == SourceRole::Takeover) {
     FetchAt_ = Now;
     return;
   }
--- a/unittests/Distribution/SourceReaderTest.cpp
+++ b/unittests/Distribution/SourceReaderTest.cpp
@@ -339,6 +339,21 @@
   CHECK(Reader.takeovers() == 1);
 }
 
+// Guards against a node that has taken over, knows that there is a new version,
+// and waits for readers that are silent before it fetches it: requests are then
+// refused as an older version says, more than 2 s after the acknowledgement.
+TEST_CASE_FIXTURE(SourceReaderFixture,
+                  "takeover at once fetches a new version without a delay") {
+  Options_.Takeover_ = Takeover::AtOnce;
+  Options_.StaleAfter_ = 1200ms;
+  Confirmation_.confirm(Now_);
+  SourceReader Reader = make(nonReader());
+  Now_ += 1200ms;
+  REQUIRE(has<WatchKeys>(Reader.tick(Now_)));
+  Reader.onKeys(7, Now_);
+  CHECK(has<FetchText>(Reader.tick(Now_)));
+}
+
 // Guards against a role that changes with each late confirmation.
 TEST_CASE_FIXTURE(SourceReaderFixture,
                   "takeover at once ends when confirmations stay recent") {
