Fuzzer of peer links: replies draw from a generator of their own

The thread sanitizer found the test's generator in use by two threads: calls of the other end arrive on threads of the connection. The sequences of all seeds change with it.

--- a/unittests/Transport/PeerLinkFuzzTest.cpp
+++ b/unittests/Transport/PeerLinkFuzzTest.cpp
@@ -13,12 +13,13 @@
 /// end that it holds.
 class PeerEnd {
 public:
-  explicit PeerEnd(std::uint64_t Seed) : Random_(Seed) {}
+  explicit PeerEnd(std::uint64_t Seed)
+      : Random_(Seed), ReplyRandom_(Seed + 1) {}
 
   /// Takes a call of the other end. Some are answered later, some refused.
   void onCall(const PeerConnectionPtr &Connection, const CallStart &Start) {
     std::lock_guard Lock(Mutex_);
-    Held_.push_back({Connection, Start.Stream_, bodySize()});
+    Held_.push_back({Connection, Start.Stream_, bodySize(ReplyRandom_)});
   }
 
   /// Performs one random action on the connection.
@@ -56,11 +57,6 @@
         Open_, [](const OpenCall &Call) { return Call.Ended_->load(); });
   }
 
-  bool holdsCalls() const {
-    std::lock_guard Lock(Mutex_);
-    return !Held_.empty();
-  }
-
 private:
   struct HeldCall {
     PeerConnectionPtr Connection_;
@@ -74,10 +70,10 @@
 
   /// Sizes below and above the one from which a body waits for the link, and
   /// above the window.
-  std::size_t bodySize() {
+  static std::size_t bodySize(Random &Rng) {
     constexpr std::array<std::size_t, 6> Sizes{0,      10,     16'384,
                                                16'385, 90'000, 400'000};
-    return Sizes[Random_.below(Sizes.size())];
+    return Sizes[Rng.below(Sizes.size())];
   }
 
   StreamCallback onEnd() {
@@ -86,11 +82,7 @@
   }
 
   void call(const PeerConnectionPtr &Connection) {
-    std::size_t Size = 0;
-    {
-      std::lock_guard Lock(Mutex_);
-      Size = bodySize();
-    }
+    std::size_t Size = bodySize(Random_);
     auto Done = onEnd();
     auto Ended = Results_.back();
     Open_.push_back(
@@ -131,8 +123,11 @@
     return true;
   }
 
-  mutable std::mutex Mutex_;
+  std::mutex Mutex_;
   Random Random_;
+  /// For calls of the other end, which arrive on other threads. Requires
+  /// Mutex_.
+  Random ReplyRandom_;
   std::vector<HeldCall> Held_;
   std::vector<OpenCall> Open_;
   std::vector<std::shared_ptr<std::atomic<bool>>> Results_;
