--- a/unittests/Transport/PeerCancelTest.cpp
+++ b/unittests/Transport/PeerCancelTest.cpp
@@ -27,7 +27,7 @@
   }
 
   static void reply(const std::pair<PeerConnectionPtr, std::uint32_t> &Call) {
-    Call.first->reply(Call.second, {}, std::string(ReplyBytes, 'x'), {});
+    Call.first->reply(Call.second, {}, std::string(ReplyBytes_, 'x'), {});
   }
 
   /// Receives data of a reply until its window is used up. Grants no credit.
@@ -52,7 +52,7 @@
   }
 
   /// More than the window, so that a reply needs credit.
-  static constexpr std::size_t ReplyBytes = 700'000;
+  static constexpr std::size_t ReplyBytes_ = 700'000;
 
   Waiter<std::pair<PeerConnectionPtr, std::uint32_t>> Held_;
 };
@@ -133,7 +133,7 @@
 // the target's node.
 TEST_CASE_FIXTURE(PeerCancelFixture,
                   "reply that its caller's node cannot take is dropped") {
-  PoolOptions_.Limits_.Reply_ = ReplyBytes - 1;
+  PoolOptions_.Limits_.Reply_ = ReplyBytes_ - 1;
   auto Connection = connect();
   Waiter<StreamResult> Got;
   Connection->call({}, nullptr, into(Got));
--- a/unittests/Transport/PeerLinkFuzzTest.cpp
+++ b/unittests/Transport/PeerLinkFuzzTest.cpp
@@ -135,7 +135,7 @@
 
 /// A connection between two nodes whose links are slow.
 struct PeerLinkFuzzFixture {
-  static constexpr double Rate = 40e6;
+  static constexpr double Rate_ = 40e6;
 
   static void play(Random &Rng) {
     PeerEnd Caller(Rng.next());
@@ -154,7 +154,7 @@
     };
     Net.PoolOptions_.Metrics_ = &Net.Metrics_;
     for (PeerOptions *Options : {&Net.ServerOptions_, &Net.PoolOptions_}) {
-      Options->Pacer_ = std::make_shared<EgressPacer>(Net.Threads_.Io_, Rate);
+      Options->Pacer_ = std::make_shared<EgressPacer>(Net.Threads_.Io_, Rate_);
       Options->Limits_.Window_ = 65'536;
     }
     auto Near = Net.connect();
--- a/unittests/Transport/PeerStreamOrderTest.cpp
+++ b/unittests/Transport/PeerStreamOrderTest.cpp
@@ -11,7 +11,7 @@
 
 struct PeerStreamOrderFixture : PeerFixture {
   PeerStreamOrderFixture() {
-    PoolOptions_.Pacer_ = std::make_shared<EgressPacer>(Threads_.Io_, Rate);
+    PoolOptions_.Pacer_ = std::make_shared<EgressPacer>(Threads_.Io_, Rate_);
   }
 
   /// Delays large bodies by the time that Bytes take on the link.
@@ -30,9 +30,9 @@
   }
 
   /// Bytes per second.
-  static constexpr double Rate = 10e6;
+  static constexpr double Rate_ = 10e6;
   /// More than the link sends during a test.
-  static constexpr std::size_t Forever = 1'000'000'000'000;
+  static constexpr std::size_t Forever_ = 1'000'000'000'000;
 
   RawListener Listener_;
   Waiter<Result<PeerConnectionPtr>> Opened_;
@@ -49,7 +49,7 @@
     "calls start in the order of their numbers while a large body "
     "waits for the link") {
   RawPeer Peer = connectRaw();
-  occupyLink(Forever);
+  occupyLink(Forever_);
   Waiter<StreamResult> Large;
   Waiter<StreamResult> Small;
   Waiter<StreamResult> Key;
@@ -92,7 +92,7 @@
   Waiter<StreamResult> Got;
   {
     RawPeer Peer = connectRaw();
-    occupyLink(Forever);
+    occupyLink(Forever_);
     Connection_->call({}, body(BulkBytes, 'x'), into(Got));
     Peer.expect<CallStart>();
   }
