Test of unrouted calls uses a path that the service serves

The test passed with the refusal taken back: no route of the service matched its path, and the call was refused for that. With a path of the service's own routes it fails without the refusal and passes with it.

--- a/unittests/Node/RoutedCallTest.cpp
+++ b/unittests/Node/RoutedCallTest.cpp
@@ -202,7 +202,8 @@
   CallStart Start;
   Start.Service_ = "desk";
   Start.Method_ = "POST";
-  Start.Path_ = "/visits/9";
+  // A path of the routes that the service has in the own interface.
+  Start.Path_ = "/bookings";
   Start.Remaining_ = std::chrono::seconds(30);
   Waiter<transport::StreamResult> Got;
   Node.Target_->callLocal(Start, nullptr, [&](transport::StreamResult Value) {
