Cold targets and evacuations: limiter, list, source

Change: ColdStartLimiter in admission, health checks of targets with a cold rate, evacuations beside the target list.

--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -36,13 +36,13 @@
     return {Admission::Refuse, ErrorCode::DeadlineBeforeRun, std::nullopt};
   if (transferIsTooLong(Ticket, Now))
     return {Admission::Refuse, ErrorCode::HopelessWait, std::nullopt};
-  if (running() < limit() && QueuedCount_ == 0) {
-    Running_.emplace(Ticket.Id_, Ticket.Kind_);
+  if (running() < limit() && QueuedCount_ == 0 && ColdStarts_.mayStart(Now)) {
+    start(Ticket.Id_, Ticket.Kind_, Now);
     return {Admission::Run, {}, std::nullopt};
   }
   Forecast Expected = forecast(Ticket, Now);
   if (waitIsTooLong(Ticket, Expected, Now))
-    return {Admission::Refuse, ErrorCode::HopelessWait, std::nullopt};
+    return {Admission::Refuse, lateReason(Now), std::nullopt};
   Submission Result{Admission::Queue, {}, std::nullopt};
   if (QueuedCount_ >= Settings_.Queue_) {
     Result.Displaced_ = displaceFor(Ticket);
@@ -165,6 +165,12 @@
   return Earliest;
 }
 
+TimePoint AdmissionControl::nextColdStart(TimePoint Now) const {
+  if (QueuedCount_ == 0 || ColdStarts_.mayStart(Now))
+    return TimePoint::max();
+  return ColdStarts_.nextStart(0, Now);
+}
+
 std::uint32_t AdmissionControl::limit() const {
   return Settings_.Adaptive_ ? Limit_.limit() : Settings_.Slots_;
 }
@@ -178,8 +184,16 @@
   return std::chrono::ceil<std::chrono::milliseconds>(Wait);
 }
 
-LoadReport AdmissionControl::load() const {
-  return {running(), QueuedCount_, limit()};
+LoadReport AdmissionControl::load(TimePoint Now) const {
+  LoadReport Report{running(), QueuedCount_, limit()};
+  Report.StartRate_ = ColdStarts_.rate(Now);
+  return Report;
+}
+
+void AdmissionControl::start(std::uint64_t Id, std::uint32_t Kind,
+                             TimePoint Now) {
+  Running_.emplace(Id, Kind);
+  ColdStarts_.onStart(Now);
 }
 
 /// Whether the answer would come too late even if a slot were free at once.
@@ -209,7 +223,9 @@
   for (const Waiting &Entry : Queues_[Own])
     if (!Entry.Late_ && Entry.Objective_ <= Ticket.Objective_)
       Count(Entry);
-  Result.Start_ = Now + Work / limit() + Ticket.Transfer_;
+  Result.Start_ = std::max(Now + Work / limit(),
+                           ColdStarts_.nextStart(Result.Before_ - 1, Now)) +
+                  Ticket.Transfer_;
   Result.Late_ =
       Ticket.Objective_ != TimePoint::max() &&
       Result.Start_ + RunTimes_.mean(Ticket.Kind_) * ExpectedRunPercent / 100 >
@@ -268,6 +284,11 @@
                                                 : ErrorCode::QueueFull;
 }
 
+ErrorCode AdmissionControl::lateReason(TimePoint Now) const {
+  return ColdStarts_.mayStart(Now) ? ErrorCode::HopelessWait
+                                   : ErrorCode::TargetCold;
+}
+
 /// Refuses queued requests that can no longer meet their objective, unless none
 /// of their priority can.
 void AdmissionControl::refuseLate(WaitingQueue &Waiters,
@@ -295,7 +316,7 @@
     auto &Queue = Queues_[Index];
     if (running() < limit())
       refuseLate(Queue, Actions, Now);
-    while (!Queue.empty() && running() < limit()) {
+    while (!Queue.empty() && running() < limit() && ColdStarts_.mayStart(Now)) {
       Waiting Next = Queue.front();
       Queue.pop_front();
       --QueuedCount_;
@@ -305,7 +326,7 @@
         Actions.Refuse_.push_back({Next.Id_, ErrorCode::DeadlineBeforeRun});
         continue;
       }
-      Running_.emplace(Next.Id_, Next.Kind_);
+      start(Next.Id_, Next.Kind_, Now);
       Actions.Start_.push_back(Next.Id_);
     }
   }
--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Admission/AdaptiveLimit.h"
+#include "Admission/ColdStartLimiter.h"
 #include "Admission/RunTimes.h"
 #include "Schema/generated/Errors.h"
 #include "Schema/generated/Messages.h"
@@ -56,9 +57,10 @@
 /// Result of submit.
 struct Submission {
   Admission Admission_ = Admission::Refuse;
-  /// Set for Refuse: QueueFull, Shed, Draining, TargetDown, DeadlineBeforeRun
-  /// or HopelessWait. The last one means that the answer would come after the
-  /// objective or the deadline; the caller's node may try another host.
+  /// Set for Refuse: QueueFull, Shed, Draining, TargetDown, DeadlineBeforeRun,
+  /// HopelessWait or TargetCold. The last two mean that the answer would come
+  /// after the objective or the deadline; the caller's node may try another
+  /// host.
   ErrorCode Reason_ = ErrorCode::QueueFull;
   /// Queued request that this one displaced; the node has to refuse it.
   std::optional<RefusedTicket> Displaced_;
@@ -113,6 +115,8 @@
 /// - Answers beyond the bandwidth of the host's link: a request whose answer
 ///   would wait for the link beyond the objective is refused even if slots are
 ///   free, because its answer would only delay the others.
+/// - Cold target: a request waits for its next start like for a slot, and is
+///   refused if that is too late (ColdStartLimiter).
 /// - Slow target: if runs alone exceed the objective, the target keeps only a
 ///   short queue, so that callers' nodes prefer other targets.
 class AdmissionControl {
@@ -163,6 +167,11 @@
   /// TimePoint::max() when the queue is empty.
   TimePoint nextExpiry() const;
 
+  /// Time at which a queued request may start although no run ends, because the
+  /// target is cold; expire has to be called then. TimePoint::max() if only
+  /// slots are missing or nothing waits.
+  TimePoint nextColdStart(TimePoint Now) const;
+
   /// Estimated time until a request that is refused now would find a free
   /// slot, which is the time to work off the queue.
   std::chrono::milliseconds retryAfter() const;
@@ -177,11 +186,15 @@
   /// Current concurrency limit.
   std::uint32_t limit() const;
 
+  /// Limit on the starts of a cold target.
+  ColdStartLimiter &coldStarts() { return ColdStarts_; }
+  const ColdStartLimiter &coldStarts() const { return ColdStarts_; }
+
   /// Whether beginDrain was called.
   bool draining() const { return Draining_; }
 
   /// Load report that is sent with answers and refusals.
-  LoadReport load() const;
+  LoadReport load(TimePoint Now) const;
 
 private:
   struct Waiting {
@@ -214,6 +227,9 @@
   std::optional<RefusedTicket> displaceFor(const CallTicket &Ticket);
   RefusedTicket displaceLast(WaitingQueue &Waiters, ErrorCode Reason);
   ErrorCode queueFullReason(Priority Value) const;
+  /// Reason for a request whose answer would come too late.
+  ErrorCode lateReason(TimePoint Now) const;
+  void start(std::uint64_t Id, std::uint32_t Kind, TimePoint Now);
   void refuseLate(WaitingQueue &Waiters, AdmissionActions &Actions,
                   TimePoint Now);
   void startQueued(AdmissionActions &Actions, TimePoint Now);
@@ -225,6 +241,7 @@
   /// Kind of each request that holds a slot, by id.
   std::unordered_map<std::uint64_t, std::uint32_t> Running_;
   RunTimes RunTimes_;
+  ColdStartLimiter ColdStarts_;
   bool Draining_ = false;
   bool Leaving_ = false;
   bool TargetDown_ = false;
--- a/src/Calls/Retry.cpp
+++ b/src/Calls/Retry.cpp
@@ -44,6 +44,9 @@
   // The target or its queue has no room, but another one may.
   case ErrorCode::TargetRefused:
   case ErrorCode::HopelessWait:
+  case ErrorCode::TargetCold:
+  case ErrorCode::TargetBusy:
+  case ErrorCode::Evacuated:
   // The result of the attempt is unknown; another host can run a repeatable
   // request.
   case ErrorCode::NodeLost:
--- a/src/Config/Fields.cpp
+++ b/src/Config/Fields.cpp
@@ -10,12 +10,15 @@
 
 constexpr double PartsPerMillion = 1e6;
 
-constexpr std::array<Field<ServiceConfig>, 4> ServiceTable{{
+constexpr std::array<Field<ServiceConfig>, 6> ServiceTable{{
     {"slots", &ServiceConfig::Slots_, 1, MaxSlots},
     {"queue", &ServiceConfig::Queue_, 0, MaxQueue},
     {"connections", &ServiceConfig::Connections_, 1, MaxConnections},
     {"slow_start", &ServiceConfig::SlowStart_, 0,
      static_cast<std::uint64_t>(MaxSlowStart.count())},
+    {"cold_time", &ServiceConfig::ColdTime_, 0,
+     static_cast<std::uint64_t>(MaxColdTime.count())},
+    {"cold_rate", &ServiceConfig::ColdRate_, 0, MaxColdRate},
 }};
 
 constexpr std::array<Field<ServiceObjective>, 3> ObjectiveTable{{
--- a/src/Config/Limits.h
+++ b/src/Config/Limits.h
@@ -42,6 +42,8 @@
 inline constexpr std::chrono::milliseconds MinDeadline{1};
 inline constexpr std::chrono::milliseconds MaxDeadline{600'000};
 inline constexpr std::chrono::milliseconds MaxSlowStart{600'000};
+inline constexpr std::chrono::milliseconds MaxColdTime{600'000};
+inline constexpr std::uint32_t MaxColdRate = 1'000'000;
 inline constexpr std::chrono::microseconds MinLatency{100};
 inline constexpr std::chrono::microseconds MaxLatency{60'000'000};
 
--- a/src/Config/ModelDiff.cpp
+++ b/src/Config/ModelDiff.cpp
@@ -129,6 +129,8 @@
     compareProperties(Key, Before, After);
     compareValue(Key + " depends_on", Before ? join(Before->DependsOn_) : "",
                  After ? join(After->DependsOn_) : "");
+    compareValue(Key + " health_path", Before ? Before->HealthPath_ : "",
+                 After ? After->HealthPath_ : "");
     static const std::vector<RouteConfig> NoRoutes;
     compareKeyed(
         Before ? Before->Routes_ : NoRoutes, After ? After->Routes_ : NoRoutes,
--- a/src/Config/TextParser.cpp
+++ b/src/Config/TextParser.cpp
@@ -212,8 +212,10 @@
       return;
     checkKeys(Value, What,
               {"depends_on", "slots", "queue", "connections", "slow_start",
-               "objective", "routes"});
+               "cold_time", "cold_rate", "health_path", "objective", "routes"});
     readFields(serviceFields(), Value, Service);
+    if (const TextNode *Node = Value.find("health_path"))
+      readText(*Node, "health_path", Service.HealthPath_);
     if (const TextNode *Node = Value.find("depends_on"))
       readNames(*Node, "depends_on", Service.DependsOn_, Nodes.DependsOn_,
                 MaxDependencies);
--- a/src/Config/Validator.cpp
+++ b/src/Config/Validator.cpp
@@ -56,6 +56,7 @@
     for (std::size_t Index = 0; Index < Model_.Services_.size(); ++Index) {
       checkService(Index);
       checkDependencies(Index);
+      checkHealthPath(Index);
       checkRoutes(Index);
     }
     for (std::size_t Index = 0; Index < Model_.Hosts_.size(); ++Index)
@@ -165,6 +166,15 @@
     }
   }
 
+  void checkHealthPath(std::size_t Index) {
+    const std::string &Path = service(Index).HealthPath_;
+    auto Error = Path.empty() ? std::nullopt : findPathError(Path);
+    if (Error)
+      report({Index, {}, "health_path", {}}, ErrorCode::BadName,
+             "health_path " + quoteText(Path) + " " + *Error,
+             "use a path such as /health");
+  }
+
   void checkRoutes(std::size_t Index) {
     const std::vector<RouteConfig> &Routes = service(Index).Routes_;
     if (Routes.empty())
--- a/src/Membership/HostListMerger.h
+++ b/src/Membership/HostListMerger.h
@@ -29,6 +29,9 @@
   /// added after it. Nothing if the source does not know them, because it has
   /// read the list as a whole.
   std::optional<std::vector<std::string>> Removed_ = {};
+  /// Failure domains that are evacuated, sorted. Nothing if the source does not
+  /// follow evacuations.
+  std::optional<std::vector<std::string>> Evacuated_ = {};
   /// Number of invalid entries since the previous list.
   std::size_t Unusable_ = 0;
   /// Revision of the source up to which Targets_ includes every change; 0 on
--- a/src/Membership/TargetDirectory.cpp
+++ b/src/Membership/TargetDirectory.cpp
@@ -76,6 +76,7 @@
   if (Revision >= Revision_)
     return Changes;
   Changes.Revision_ = Revision_;
+  Changes.Evacuated_ = Evacuated_;
   Changes.Base_ = Revision < ForgottenUpTo_ ? 0 : Revision;
   for (const auto &[Instance, Held] : Entries_) {
     if (Changes.Base_ != 0 && Held.ChangedAt_ <= Changes.Base_)
@@ -95,6 +96,7 @@
     return false;
   bool Ordered = Changes.Revision_ >= ContentRevision_;
   advanceTo(Changes.Revision_, Changes.Revision_);
+  Evacuated_ = Changes.Evacuated_;
   std::set<std::string_view> ListedInstances;
   for (const ListedTarget &Target : Changes.Changed_) {
     ListedInstances.insert(Target.Instance_);
@@ -125,6 +127,10 @@
   return Changed;
 }
 
+bool TargetDirectory::isEvacuated(std::string_view FailureDomain) const {
+  return std::ranges::binary_search(Evacuated_, FailureDomain);
+}
+
 std::vector<ListedTarget> TargetDirectory::targets() const {
   std::vector<ListedTarget> Targets;
   Targets.reserve(Entries_.size());
--- a/src/Membership/TargetDirectory.h
+++ b/src/Membership/TargetDirectory.h
@@ -79,6 +79,17 @@
   /// Returns whether the list may contain changes after revision().
   bool isAheadOfRevision() const { return ContentRevision_ > Revision_; }
 
+  /// Replaces the evacuated failure domains, which must be sorted, as of the
+  /// revision of the list. Call after apply.
+  void setEvacuated(std::vector<std::string> Domains) {
+    Evacuated_ = std::move(Domains);
+  }
+
+  /// Evacuated failure domains, sorted. Their targets get no requests.
+  const std::vector<std::string> &evacuated() const { return Evacuated_; }
+
+  bool isEvacuated(std::string_view FailureDomain) const;
+
   /// Removes missing entries whose grace period has ended. Returns whether
   /// there were any.
   bool expire(TimePoint Now);
@@ -142,6 +153,7 @@
   /// Revision_.
   std::uint64_t ContentRevision_ = 0;
   std::map<HostId, const ListedTarget *> ByNode_;
+  std::vector<std::string> Evacuated_;
   bool Known_ = false;
   bool HasMissingEntries_ = false;
   std::optional<TimePoint> KeepMissingUntil_;
--- a/src/Node/ControlCore.h
+++ b/src/Node/ControlCore.h
@@ -45,6 +45,8 @@
   std::uint64_t ConfigRevision_ = 0;
   /// The platform's target list.
   std::vector<membership::ListedTarget> Targets_;
+  /// Evacuated failure domains, sorted.
+  std::vector<std::string> Evacuated_ = {};
 };
 
 /// Control-plane state machine of one node. Combines membership, distribution
@@ -224,6 +226,12 @@
   /// Merges the changes of the target list from a peer's reply.
   void mergeTargets(const HostId &Peer, const SyncReply &Reply, TimePoint Now,
                     ControlEffects &Out);
+  /// Merges changes of the target list from a peer, evacuations included.
+  bool mergeChanges(const TargetChanges &Changes, ControlEffects &Out);
+  void setEvacuated(std::vector<std::string> Domains, ControlEffects &Out);
+  /// Reports the evacuations that have begun or ended since Before.
+  void reportEvacuations(const std::vector<std::string> &Before,
+                         ControlEffects &Out) const;
   /// Source revision up to which both the target list and the configuration
   /// are known. 0 while the configuration is older than the list, or the list
   /// keeps entries that the source no longer has or contains later changes.
--- a/src/Node/ControlEffects.h
+++ b/src/Node/ControlEffects.h
@@ -64,6 +64,14 @@
   std::chrono::milliseconds ConfirmationAge_{};
 };
 
+/// Begin or end of the evacuation of a failure domain, for log and metrics.
+struct EvacuationEvent {
+  std::string FailureDomain_;
+  bool Begins_ = false;
+  /// Revision of the source of which this node learned it.
+  std::uint64_t Revision_ = 0;
+};
+
 /// Effects that ControlCore requests. ControlPlane applies them after it has
 /// released its lock.
 struct ControlEffects {
@@ -92,6 +100,7 @@
   /// Whether a later revision of the target list was merged from a peer. The
   /// next read of the source must continue from that revision.
   bool TargetsMerged_ = false;
+  std::vector<EvacuationEvent> Evacuations_;
   /// Lengths of the pauses of the process that were detected.
   std::vector<Duration> Pauses_;
   /// Whether the incarnation in this node's host record had to be raised.
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -224,6 +224,14 @@
               {"confirmation_age_ms",
                std::to_string(Event->ConfirmationAge_.count())}});
   }
+  for (const EvacuationEvent &Event : Effects.Evacuations_) {
+    if (Event.Begins_)
+      Parts_.Metrics_.add(Metric::EvacuationsTotal);
+    logEvent(LogLevel::Warning,
+             Event.Begins_ ? "evacuation_began" : "evacuation_ended",
+             {{"domain", Event.FailureDomain_},
+              {"revision", std::to_string(Event.Revision_)}});
+  }
   for (Duration Pause : Effects.Pauses_) {
     auto Length = std::chrono::duration_cast<std::chrono::milliseconds>(Pause);
     Parts_.Metrics_.add(Metric::PausesTotal);
@@ -385,16 +393,20 @@
   std::chrono::milliseconds Age{};
   std::array<std::size_t, HostStateCount> Counts{};
   std::size_t Listed = 0;
+  std::size_t Evacuated = 0;
   {
     std::lock_guard Lock(Mutex_);
     Version = Core_.versions().version();
     Age = Core_.sourceAge(Now);
     Counts = Core_.hosts().countByState();
     Listed = Core_.directory().size();
+    Evacuated = Core_.directory().evacuated().size();
   }
   Parts_.Metrics_.set(Metric::LogLinesDroppedTotal,
                       static_cast<std::int64_t>(droppedLogLines()), "full");
   Parts_.Metrics_.set(Metric::ListedTargets, static_cast<std::int64_t>(Listed));
+  Parts_.Metrics_.set(Metric::EvacuatedDomains,
+                      static_cast<std::int64_t>(Evacuated));
   Parts_.Metrics_.set(Metric::ConfigEpoch, Version.Epoch_);
   Parts_.Metrics_.set(Metric::ConfigRevision,
                       static_cast<std::int64_t>(Version.Revision_));
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -40,8 +40,13 @@
   if (List.Targets_) {
     if (List.Revision_ >= Directory_.revision())
       ListConfigRevision_ = List.ConfigRevision_;
+    bool Current = List.Revision_ >= Directory_.revision();
     Directory_.apply(*List.Targets_, Now, List.Revision_, List.ContentRevision_,
                      List.Removed_);
+    // Evacuations are ordered like the list: an earlier state never replaces a
+    // later one.
+    if (Current && List.Evacuated_)
+      setEvacuated(*List.Evacuated_, Out);
     onTargetsChanged(Out);
   }
   apply(Probes_.onListed(ListMerger_.apply(List, Table_), Now), Now, Out);
@@ -73,7 +78,7 @@
   // over as reader continues from the revision of the list and would miss a
   // configuration change with a lower revision.
   if (EveryNodeMode_ || Store_.version() < Reply.Summary_.Version_ ||
-      !Directory_.merge(Reply.Targets_))
+      !mergeChanges(Reply.Targets_, Out))
     return;
   ListConfigRevision_ = 0;
   onTargetsChanged(Out);
@@ -91,6 +96,34 @@
   advertise(Peer, Now, Out);
 }
 
+bool ControlCore::mergeChanges(const TargetChanges &Changes,
+                               ControlEffects &Out) {
+  std::vector<std::string> Before = Directory_.evacuated();
+  if (!Directory_.merge(Changes))
+    return false;
+  reportEvacuations(Before, Out);
+  return true;
+}
+
+void ControlCore::setEvacuated(std::vector<std::string> Domains,
+                               ControlEffects &Out) {
+  std::vector<std::string> Before = Directory_.evacuated();
+  Directory_.setEvacuated(std::move(Domains));
+  reportEvacuations(Before, Out);
+}
+
+void ControlCore::reportEvacuations(const std::vector<std::string> &Before,
+                                    ControlEffects &Out) const {
+  const std::vector<std::string> &After = Directory_.evacuated();
+  std::uint64_t Revision = Directory_.revision();
+  for (const std::string &Domain : After)
+    if (!std::ranges::binary_search(Before, Domain))
+      Out.Evacuations_.push_back({Domain, true, Revision});
+  for (const std::string &Domain : Before)
+    if (!std::ranges::binary_search(After, Domain))
+      Out.Evacuations_.push_back({Domain, false, Revision});
+}
+
 void ControlCore::sendHeartbeats(TimePoint Now, ControlEffects &Out) {
   if (EveryNodeMode_ || Settings_.SourceHeartbeat_ == Duration::zero() ||
       Now < NextHeartbeat_ || !Reader_.isReader(Now) || sourceRevision() == 0)
@@ -109,7 +142,7 @@
 
 KnownSourceState ControlCore::knownSourceState() const {
   return {Directory_.revision(), Store_.version().Revision_,
-          Directory_.listedTargets()};
+          Directory_.listedTargets(), Directory_.evacuated()};
 }
 
 void ControlCore::setOwnService(std::string Service, ControlEffects &Out) {
@@ -126,9 +159,11 @@
     Updated.Instance_ = Listed->Instance_;
     Updated.Slots_ = Listed->Slots_;
     Updated.Leaving_ = Listed->Leaving_;
+    Updated.Cold_ = Listed->ColdLeft_.count() > 0;
   } else {
     Updated.Unlisted_ = Directory_.isKnown();
   }
+  Updated.Evacuated_ = Directory_.isEvacuated(Settings_.FailureDomain_);
   if (Updated == OwnTarget_)
     return;
   OwnTarget_ = std::move(Updated);
@@ -170,7 +205,7 @@
       Record.State_ = HostState::Ready;
     else if (Entry->ReportedState_ == HostState::Draining)
       Record.State_ = HostState::Draining;
-    if (Target->Leaving_)
+    if (Target->Leaving_ || Directory_.isEvacuated(Target->FailureDomain_))
       Record.State_ = HostState::Draining;
     Records.push_back(std::move(Record));
   }
--- a/src/Node/HttpHeaderNames.h
+++ b/src/Node/HttpHeaderNames.h
@@ -32,6 +32,13 @@
   std::string NotRun_ = "x-marigold-not-run";
   /// Present in every answer of a target that ran the request.
   std::string Signature_;
+  /// Present in the answers of a target to health checks: its instance.
+  std::string AnsweringInstance_;
+  /// Time in milliseconds for which a target stays cold, in its answers to
+  /// health checks; absent or 0 if it is warm.
+  std::string ColdLeft_;
+  /// Load as the target itself reports it with its answers.
+  std::string TargetLoad_;
   /// Whether callers take the statuses 408, 421, 429 and 503 as a statement
   /// that the request has not run. An answer of a target with such a status but
   /// without the field NotRun_ is then not passed on.
--- a/src/Node/OwnTarget.cpp
+++ b/src/Node/OwnTarget.cpp
@@ -10,6 +10,8 @@
     return ErrorCode::TargetUnlisted;
   if (Own.Leaving_)
     return ErrorCode::Draining;
+  if (Own.Evacuated_)
+    return ErrorCode::Evacuated;
   return std::nullopt;
 }
 
--- a/src/Node/OwnTarget.h
+++ b/src/Node/OwnTarget.h
@@ -26,6 +26,10 @@
   std::uint32_t Slots_ = 0;
   /// Whether the list marks the target as leaving.
   bool Leaving_ = false;
+  /// Whether the list reports the target as cold.
+  bool Cold_ = false;
+  /// Whether the failure domain of the target is evacuated.
+  bool Evacuated_ = false;
   /// Whether there is a list that does not contain a target for this node.
   bool Unlisted_ = false;
 
--- a/src/Node/TargetHealth.cpp
+++ b/src/Node/TargetHealth.cpp
@@ -38,6 +38,7 @@
     ProbeTimer_.cancel();
     CrashTimer_.cancel();
     DrainTimer_.cancel();
+    HealthTimer_.cancel();
   }
   Pool_.stop();
 }
@@ -45,7 +46,9 @@
 // Timers. These functions require the admission shard's mutex.
 
 void TargetProxy::Impl::armExpiry() {
-  TimePoint Next = Admission_.Control_.nextExpiry();
+  TimePoint Next = std::min(
+      Admission_.Control_.nextExpiry(),
+      Admission_.Control_.nextColdStart(std::chrono::steady_clock::now()));
   if (Stopped_ || Next == TimePoint::max())
     return;
   ExpiryTimer_.expires_at(Next);
@@ -106,9 +109,11 @@
     if (!Admission_.Monitor_.onConnected())
       return;
     Admission_.Control_.targetUp();
+    assumeCold("connected", std::chrono::steady_clock::now());
     Draining = Admission_.Control_.draining() || Admission_.Own_.Leaving_;
   }
   logEvent(LogLevel::Info, "target_up");
+  checkHealth();
   if (!Draining)
     Parts_.Environment_.ownStateChanged(HostState::Ready);
 }
@@ -179,9 +184,13 @@
     for (const auto &[Id, Fingerprint] : CrashCheck_->Fingerprints_)
       Notice.Fingerprints_.push_back(Fingerprint);
     CrashCheck_.reset();
+    if (Crashed && TargetAccepts)
+      assumeCold("restarted", std::chrono::steady_clock::now());
   }
   if (!TargetAccepts)
     onConnectFailed();
+  else if (Crashed)
+    checkHealth();
   if (!Crashed)
     return;
   Notice.Service_ = ownTarget().Service_;
@@ -216,10 +225,18 @@
 void TargetProxy::Impl::onOwnTarget(const OwnTarget &Own) {
   admission::AdmissionActions Actions;
   bool NewInstance = false;
+  bool MayBeCold = false;
   HostState State = HostState::Ready;
   {
     std::lock_guard Lock(Admission_.Mutex_);
+    TimePoint Now = std::chrono::steady_clock::now();
     NewInstance = Admission_.Own_.Instance_ != Own.Instance_;
+    bool EvacuationEnded = Admission_.Own_.Evacuated_ && !Own.Evacuated_;
+    MayBeCold = NewInstance || EvacuationEnded || Own.Cold_;
+    if (NewInstance || EvacuationEnded)
+      assumeCold(NewInstance ? "instance" : "evacuation_ended", Now);
+    else if (Own.Cold_ && !Admission_.Own_.Cold_)
+      Admission_.Control_.coldStarts().onListedCold(Now);
     // All queued requests were admitted for the previous service.
     auto Reason = refusalBy(Own, Admission_.Own_.Service_);
     Admission_.Own_ = Own;
@@ -239,12 +256,16 @@
             {"instance", Own.Instance_},
             {"slots", std::to_string(Own.Slots_)},
             {"leaving", Own.Leaving_ ? "true" : "false"},
+            {"evacuated", Own.Evacuated_ ? "true" : "false"},
+            {"cold", Own.Cold_ ? "true" : "false"},
             {"listed", Own.Unlisted_ ? "false" : "true"}});
   apply(Actions);
   Pool_.recheckWaiting();
   // Idle connections lead to the previous instance at the same address.
   if (NewInstance)
     Pool_.closeIdle();
+  if (MayBeCold)
+    checkHealth();
   Parts_.Environment_.ownStateChanged(State);
 }
 
@@ -320,12 +341,15 @@
           Self->Keys_.Suspects_.expire(Now);
           Keys = Self->Keys_.Keys_.size();
         }
+        if (auto Current = Self->Parts_.Environment_.snapshot())
+          Self->configure(*Current, Now);
         LoadReport Load = Self->load();
         MetricsRegistry &Metrics = Self->Parts_.Metrics_;
         Metrics.set(Metric::Running, Load.Running_);
         Metrics.set(Metric::Queued, Load.Queued_);
         Metrics.set(Metric::ConcurrencyLimit, Load.Limit_);
         Metrics.set(Metric::Keys, static_cast<std::int64_t>(Keys));
+        Metrics.set(Metric::TargetCold, Load.StartRate_ != 0 ? 1 : 0);
         Self->armHousekeeping();
       });
 }
--- a/src/Node/TargetProxy.cpp
+++ b/src/Node/TargetProxy.cpp
@@ -62,7 +62,9 @@
           {},
           false,
           {},
-          {}},
+          {},
+          {},
+          false},
       Keys_{{},
             calls::KeyTable(Parts.Environment_.ownRecord().Id_, Incarnation,
                             hash64(Parts.Settings_.Mesh_),
@@ -71,12 +73,14 @@
             calls::CrashSuspects()},
       Incarnation_(Incarnation), ExpiryTimer_(Parts.Io_),
       ProbeTimer_(Parts.Io_), CrashTimer_(Parts.Io_), DrainTimer_(Parts.Io_),
-      Housekeeping_(Parts.Io_),
+      HealthTimer_(Parts.Io_), Housekeeping_(Parts.Io_),
       AdmittedTotal_(Parts.Metrics_.value(Metric::AdmittedTotal)),
       LogLimiter_(Parts.Metrics_, Parts.Settings_.CallLogRate_) {
   Admission_.Own_.Service_ = Parts.Settings_.Service_;
   // The target counts as down until the first probe succeeds.
-  Admission_.Control_.targetDown(std::chrono::steady_clock::now());
+  TimePoint Now = std::chrono::steady_clock::now();
+  Admission_.Control_.targetDown(Now);
+  Admission_.Control_.coldStarts() = admission::ColdStartLimiter(Now);
 }
 
 std::optional<ErrorCode>
@@ -135,7 +139,9 @@
   Values.Slots_ =
       Admission_.Own_.Slots_ != 0 ? Admission_.Own_.Slots_ : Service.Slots_;
   Values.Queue_ = Service.Queue_;
+  admission::ColdStartLimiter ColdStarts = Admission_.Control_.coldStarts();
   Admission_.Control_ = admission::AdmissionControl(Values);
+  Admission_.Control_.coldStarts() = std::move(ColdStarts);
   Admission_.Control_.setLeaving(Admission_.Own_.Leaving_);
   if (!Admission_.Monitor_.isUp())
     Admission_.Control_.targetDown(Now);
@@ -168,6 +174,7 @@
                                                   : Service->Slots_,
                                               Service->Queue_, Now);
     Connections = std::max<std::size_t>(Service->Connections_, 1);
+    configureColdStarts(*Service);
   }
   Pool_.setConnections(Connections);
   apply(Actions);
@@ -258,6 +265,10 @@
     }
     if (Decision.Admission_ == Admission::Queue)
       armExpiry();
+    if (Decision.Admission_ == Admission::Queue &&
+        Admission_.Control_.running() < Admission_.Control_.limit() &&
+        Admission_.Control_.coldStarts().isLimiting(Now))
+      Parts_.Metrics_.add(Metric::StartsDelayedTotal);
   }
   if (Decision.Displaced_)
     apply({{}, {*Decision.Displaced_}});
@@ -360,7 +371,7 @@
 
 LoadReport TargetProxy::Impl::load() const {
   std::lock_guard Lock(Admission_.Mutex_);
-  return Admission_.Control_.load();
+  return Admission_.Control_.load(std::chrono::steady_clock::now());
 }
 
 // The public class.
--- a/src/Node/TargetProxyImpl.h
+++ b/src/Node/TargetProxyImpl.h
@@ -123,6 +123,9 @@
     /// The target beside this node as the platform lists it.
     OwnTarget Own_;
     std::vector<std::function<void()>> Drained_;
+    /// Path of the target's health check; empty if it is not checked.
+    std::string HealthPath_;
+    bool HealthCheckPending_ = false;
   };
 
   /// Keys, stored answers and crash suspects.
@@ -190,6 +193,16 @@
                         const transport::HttpClientFailure &Failed,
                         ErrorCode Code, Duration Latency);
   void armExpiry();
+  // Health checks, which tell whether the target is cold (TargetCold.cpp).
+  // Those that take a service require the admission shard's mutex.
+  void configureColdStarts(const ServiceConfig &Service);
+  /// Counts the target as cold until it says otherwise, because its process may
+  /// have been replaced. Requires the admission shard's mutex.
+  void assumeCold(std::string_view Cause, TimePoint Now);
+  void armHealthCheck();
+  void checkHealth();
+  void onHealthAnswer(const transport::HttpClientResult &Value,
+                      TimePoint Asked);
   void runProbe();
   void armProbe();
   void onConnected();
@@ -202,6 +215,7 @@
   boost::asio::steady_timer ProbeTimer_;  // Guarded by Admission_.Mutex_.
   boost::asio::steady_timer CrashTimer_;  // Guarded by Admission_.Mutex_.
   boost::asio::steady_timer DrainTimer_;  // Guarded by Admission_.Mutex_.
+  boost::asio::steady_timer HealthTimer_; // Guarded by Admission_.Mutex_.
   boost::asio::steady_timer Housekeeping_;
   std::atomic<bool> Stopped_ = false;
   std::atomic<std::int64_t> &AdmittedTotal_;
--- a/src/Node/TargetRun.cpp
+++ b/src/Node/TargetRun.cpp
@@ -33,7 +33,8 @@
 /// time until capacity is free is of use to the caller.
 bool isCapacityRefusal(ErrorCode Code) {
   return Code == ErrorCode::QueueFull || Code == ErrorCode::Shed ||
-         Code == ErrorCode::HopelessWait || Code == ErrorCode::TargetRefused;
+         Code == ErrorCode::HopelessWait || Code == ErrorCode::TargetCold ||
+         Code == ErrorCode::TargetRefused;
 }
 
 void addField(std::vector<Header> &Headers, const std::string &Name,
@@ -52,6 +53,7 @@
   case ErrorCode::WrongService:
   case ErrorCode::TargetUnlisted:
   case ErrorCode::Draining:
+  case ErrorCode::Evacuated:
     return Failed.Cause_.Code_;
   default:
     break;
@@ -155,6 +157,10 @@
   for (std::uint64_t Id : Actions.Start_)
     if (TargetRunPtr Run = findRun(Id))
       forward(Run);
+  std::lock_guard Lock(Admission_.Mutex_);
+  if (Admission_.Control_.coldStarts().isLimiting(
+          std::chrono::steady_clock::now()))
+    armExpiry();
 }
 
 void TargetProxy::Impl::refuse(const TargetRunPtr &Run, ErrorCode Code) {
@@ -166,7 +172,7 @@
     Admission_.Transfers_.onEnded(Run->Id_, Run->Start_.Kind_, 0);
     if (Run->Connection_)
       Admission_.Streams_.erase({Run->Connection_.get(), Run->Start_.Stream_});
-    Load = Admission_.Control_.load();
+    Load = Admission_.Control_.load(std::chrono::steady_clock::now());
     if (isCapacityRefusal(Code))
       RetryAfter = Admission_.Control_.retryAfter();
   }
@@ -319,9 +325,9 @@
       Admission_.Streams_.erase({Run->Connection_.get(), Run->Start_.Stream_});
     if (CrashCheck_ && Sample.Measured_)
       CrashCheck_->Fingerprints_.erase(Run->Id_);
-    Actions = Admission_.Control_.finish(Run->Id_, Sample,
-                                         std::chrono::steady_clock::now());
-    Load = Admission_.Control_.load();
+    TimePoint Now = std::chrono::steady_clock::now();
+    Actions = Admission_.Control_.finish(Run->Id_, Sample, Now);
+    Load = Admission_.Control_.load(Now);
     Draining = Admission_.Control_.draining();
   }
   apply(Actions);
--- a/src/Routing/HostLoad.cpp
+++ b/src/Routing/HostLoad.cpp
@@ -61,9 +61,14 @@
         std::max(Observed, RefusedUtilization * decayFactor(*RefusedAt_, Now));
   if (!Report_)
     return Observed;
+  double Usable = std::clamp(static_cast<double>(Report_->Limit_), 1.0, Limit);
+  // A cold target keeps only as many slots in use as its rate of starts fills.
+  if (Report_->StartRate_ != 0 && Latency_ > Duration::zero())
+    Usable = std::clamp(Report_->StartRate_ *
+                            std::chrono::duration<double>(Latency_).count(),
+                        1.0, Usable);
   double Reported =
-      (static_cast<double>(Report_->Running_) + Report_->Queued_) /
-      std::clamp(static_cast<double>(Report_->Limit_), 1.0, Limit);
+      (static_cast<double>(Report_->Running_) + Report_->Queued_) / Usable;
   return std::max(Observed, std::min(Reported, MaxReportedUtilization) *
                                 decayFactor(ReportedAt_, Now));
 }
--- a/src/Routing/Pool.cpp
+++ b/src/Routing/Pool.cpp
@@ -184,6 +184,8 @@
   if (Sample.Error_ == ErrorCode::QueueFull ||
       Sample.Error_ == ErrorCode::Shed ||
       Sample.Error_ == ErrorCode::HopelessWait ||
+      Sample.Error_ == ErrorCode::TargetCold ||
+      Sample.Error_ == ErrorCode::Evacuated ||
       Sample.Error_ == ErrorCode::TargetUnlisted)
     Host.Load_.onRefused(Now);
   if (!Sample.Error_ && !Sample.ServerError_) {
@@ -315,8 +317,11 @@
     Host.SlowStartFrom_ = Now;
     return;
   }
-  // Slow start begins when the target gets ready and has to warm up.
-  if (Old.State_ == HostState::Starting && New.State_ == HostState::Ready)
+  // Slow start begins when the target gets ready and has to warm up, also after
+  // an evacuation.
+  bool TookNoCalls =
+      Old.State_ == HostState::Starting || Old.State_ == HostState::Draining;
+  if (TookNoCalls && New.State_ == HostState::Ready)
     Host.SlowStartFrom_ = Now;
 }
 
--- a/unittests/Admission/AdmissionControlTest.cpp
+++ b/unittests/Admission/AdmissionControlTest.cpp
@@ -52,7 +52,7 @@
   Submission Fifth = submit(5);
   CHECK(Fifth.Admission_ == Admission::Refuse);
   CHECK(Fifth.Reason_ == Code::QueueFull);
-  CHECK(Control_.load() == LoadReport{2, 2, 2});
+  CHECK(Control_.load(Now_) == LoadReport{2, 2, 2});
 }
 
 // Guards against a slot that is released twice, so that more requests run than
--- a/unittests/Config/ModelDiffTest.cpp
+++ b/unittests/Config/ModelDiffTest.cpp
@@ -20,7 +20,8 @@
     Lines += toText(Change) + "\n";
   const std::string Route = "route DELETE,GET,HEAD,OPTIONS,PATCH,POST,PUT /";
   const std::string Service =
-      "slots=10 queue=20 connections=100 slow_start=10s objective "
+      "slots=10 queue=20 connections=100 slow_start=10s cold_time=0ms "
+      "cold_rate=0 objective "
       "availability=99.9% objective latency=500ms objective latency_ratio=99%";
   const std::string Values =
       "repeatable=false deadline=5s priority=normal max_body=1MiB";
--- a/unittests/Control/ControlHarness.cpp
+++ b/unittests/Control/ControlHarness.cpp
@@ -192,6 +192,7 @@
   membership::HostList List;
   List.ReadAt_ = Now_;
   List.Targets_ = Source_.Targets_;
+  List.Evacuated_ = Source_.Evacuated_;
   for (const ListedTarget &Target : *Source_.Targets_) {
     membership::ListedHost &Host = List.Hosts_.emplace_back();
     Host.Record_.Id_ = Target.Node_;
--- a/unittests/Control/ControlHarness.h
+++ b/unittests/Control/ControlHarness.h
@@ -24,6 +24,8 @@
   /// The platform's target list; empty for a platform that does not list
   /// targets.
   std::optional<std::vector<ListedTarget>> Targets_ = {};
+  /// Evacuated failure domains, sorted.
+  std::vector<std::string> Evacuated_ = {};
   /// Revision of the target list.
   std::uint64_t Revision_ = 0;
   /// Nodes that cannot reach the source.
--- a/unittests/Control/SharedListTest.cpp
+++ b/unittests/Control/SharedListTest.cpp
@@ -53,6 +53,21 @@
     ++source().Revision_;
   }
 
+  /// Replaces the evacuated failure domains.
+  void evacuate(std::vector<std::string> Domains) {
+    source().Evacuated_ = std::move(Domains);
+    ++source().Revision_;
+  }
+
+  /// Nodes that know that their own target is evacuated.
+  std::set<unsigned> evacuatedNodes() {
+    std::set<unsigned> Found;
+    for (unsigned Number = 1; Number <= Count_; ++Number)
+      if (node(Number).Core_->ownTarget().Evacuated_)
+        Found.insert(Number);
+    return Found;
+  }
+
   bool allKnowRevision(std::uint64_t Revision) {
     for (unsigned Number = 1; Number <= Count_; ++Number)
       if (node(Number).Running_ &&
@@ -240,4 +255,61 @@
   CHECK(node(Stale).Core_->directory().find(idOf(Removed)) == nullptr);
 }
 
+// Guards against requests to the targets of an evacuated failure domain, from
+// callers' nodes and at the targets' own nodes.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "evacuation reaches every node within the bound") {
+  evacuate({"even"});
+  run(PropagationLimit_);
+  CHECK(allKnowRevision(21));
+  CHECK(evacuatedNodes() == std::set<unsigned>{2, 4, 6, 8, 10, 12});
+  for (const HostRecord &Record : node(1).Core_->targetsOf("desk"))
+    CHECK((Record.State_ == HostState::Draining) ==
+          (Record.FailureDomain_ == "even"));
+}
+
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "end of an evacuation reaches every node") {
+  evacuate({"even"});
+  run(PropagationLimit_);
+  evacuate({});
+  run(PropagationLimit_);
+  CHECK(evacuatedNodes().empty());
+  for (const HostRecord &Record : node(1).Core_->targetsOf("desk"))
+    CHECK(Record.State_ == HostState::Ready);
+}
+
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "evacuation of every failure domain leaves no target") {
+  evacuate({"even", "odd"});
+  run(PropagationLimit_);
+  CHECK(evacuatedNodes().size() == Count_);
+}
+
+// Guards against an evacuation that is known only to the readers that have
+// died.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "evacuation reaches nodes whose readers die before its "
+                  "spread") {
+  std::set<unsigned> Readers = readers();
+  evacuate({"odd"});
+  for (unsigned Reader : Readers)
+    setPaused(Reader, true);
+  run(PropagationLimit_);
+  for (unsigned Number = 1; Number <= Count_; Number += 2)
+    if (!Readers.contains(Number))
+      CHECK(evacuatedNodes().contains(Number));
+}
+
+// Guards against an outage of the source that ends an evacuation.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "evacuation stays while the source is away") {
+  evacuate({"odd"});
+  run(PropagationLimit_);
+  for (unsigned Number = 1; Number <= Count_; ++Number)
+    source().UnreachableNodes_.insert(Number);
+  run(10s);
+  CHECK(evacuatedNodes() == std::set<unsigned>{1, 3, 5, 7, 9, 11});
+}
+
 } // namespace marigold::node
--- a/unittests/Membership/TargetDirectoryTest.cpp
+++ b/unittests/Membership/TargetDirectoryTest.cpp
@@ -395,4 +395,26 @@
   });
 }
 
+// Guards against a peer that lags behind and brings back an evacuation that has
+// ended.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "changes of an earlier revision keep the evacuations") {
+  Directory_.apply({target("a", 1)}, Now_, 20);
+  Directory_.setEvacuated({"east"});
+  TargetChanges Earlier = Directory_.changesSince(0);
+  Directory_.apply({target("a", 1)}, Now_, 21);
+  Directory_.setEvacuated({});
+  CHECK_FALSE(Directory_.merge(Earlier));
+  CHECK_FALSE(Directory_.isEvacuated("east"));
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture, "changes carry the evacuations") {
+  Directory_.apply({target("a", 1)}, Now_, 20);
+  Directory_.setEvacuated({"east", "north"});
+  TargetDirectory Peer;
+  CHECK(Peer.merge(Directory_.changesSince(0)));
+  CHECK(Peer.isEvacuated("north"));
+  CHECK_FALSE(Peer.isEvacuated("west"));
+}
+
 } // namespace marigold::membership
