Cold targets: no lost wake of a queued request

Cause: nextColdStart gave no time once the start had become possible, so a request queued between that moment and the timer replaced the timer by the deadline, and both waited with slot and start free. Change: the time is Now until expire is called.

--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -166,7 +166,7 @@
 }
 
 TimePoint AdmissionControl::nextColdStart(TimePoint Now) const {
-  if (QueuedCount_ == 0 || ColdStarts_.mayStart(Now))
+  if (QueuedCount_ == 0 || running() >= limit())
     return TimePoint::max();
   return ColdStarts_.nextStart(0, Now);
 }
--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -168,8 +168,9 @@
   TimePoint nextExpiry() const;
 
   /// Time at which a queued request may start although no run ends, because the
-  /// target is cold; expire has to be called then. TimePoint::max() if only
-  /// slots are missing or nothing waits.
+  /// target is cold; expire has to be called then. Now if a start has become
+  /// possible since the last call of expire. TimePoint::max() if slots are
+  /// missing or nothing waits.
   TimePoint nextColdStart(TimePoint Now) const;
 
   /// Estimated time until a request that is refused now would find a free
--- a/unittests/Admission/ColdStartTest.cpp
+++ b/unittests/Admission/ColdStartTest.cpp
@@ -241,4 +241,24 @@
   CHECK(Control_.load(Begin_).StartRate_ == Allowed);
 }
 
+// Guards against a request that waits although slot and start are free: its
+// timer was replaced just after the start had become possible.
+TEST_CASE_FIXTURE(ReturnUnderLoadFixture,
+                  "start that has become possible is due at once") {
+  Control_.coldStarts().configure(Limits);
+  Control_.coldStarts().onTargetStarted(Begin_);
+  std::uint64_t Id = 0;
+  while (Control_.queued() == 0) {
+    CallTicket Ticket{++Id, Priority::Normal, Begin_ + seconds(60)};
+    if (Control_.submit(Ticket, Begin_).Admission_ == Admission::Run)
+      Control_.finish(Id, {.Latency_ = milliseconds(1)}, Begin_);
+  }
+  TimePoint Due = Control_.nextColdStart(Begin_);
+  REQUIRE(Due > Begin_);
+  Due += milliseconds(5);
+  CHECK(Control_.nextColdStart(Due) <= Due);
+  CHECK(Control_.expire(Due).Start_.size() == 1);
+  CHECK(Control_.nextColdStart(Due) == TimePoint::max());
+}
+
 } // namespace marigold::admission
