Cold targets: health checks count, and unreadable answers say nothing

Cause: a health check waits for a slot of the target like any request, but was not counted among the starts. An answer whose cold time is no number or too large, and a refusal, counted as warm and lifted the limit. Change: each check counts as a start; only a taken check without a cold time means warm. The nodes of a test may have changed settings.

--- a/src/Node/TargetCold.cpp
+++ b/src/Node/TargetCold.cpp
@@ -8,9 +8,11 @@
 namespace marigold::node {
 namespace {
 
-/// Timeout of a health check. A target answers them without waiting for a slot.
+/// Timeout of a health check, which waits for a slot of the target like any
+/// other request.
 constexpr auto HealthTimeout = std::chrono::milliseconds(500);
-/// Longest cold time that a target can report, in milliseconds.
+/// Longest cold time that a target can report, in milliseconds. A longer one is
+/// not believed, so that the cold time of the service counts.
 constexpr std::uint64_t MaxColdMs = 600'000;
 
 std::string millisecondsText(Duration Value) {
@@ -18,6 +20,28 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
 }
 
+/// Returns for how long the target stays cold, or nothing if the answer does not
+/// tell. Only a target that took the check is warm without saying so; a refusal
+/// may come from one that is starting or full.
+std::optional<Duration> readColdLeft(const transport::HttpResponse &Answer,
+                                     const HttpHeaderNames &Names) {
+  // An answer without the instance is not one to a health check.
+  if (!Names.AnsweringInstance_.empty() &&
+      transport::findHeader(Answer.Headers_, Names.AnsweringInstance_).empty())
+    return std::nullopt;
+  std::string_view Given;
+  if (!Names.ColdLeft_.empty())
+    Given = transport::findHeader(Answer.Headers_, Names.ColdLeft_);
+  if (Given.empty())
+    return Answer.Status_ >= 200 && Answer.Status_ < 300
+               ? std::optional(Duration::zero())
+               : std::nullopt;
+  auto Milliseconds = parseNumber(Given, MaxColdMs);
+  if (!Milliseconds)
+    return std::nullopt;
+  return std::chrono::milliseconds(Milliseconds.value());
+}
+
 } // namespace
 
 void TargetProxy::Impl::configureColdStarts(const ServiceConfig &Service) {
@@ -57,6 +81,7 @@
 
 void TargetProxy::Impl::checkHealth() {
   transport::HttpClientRequest Request;
+  TimePoint Asked = std::chrono::steady_clock::now();
   {
     std::lock_guard Lock(Admission_.Mutex_);
     if (Stopped_ || Admission_.HealthPath_.empty())
@@ -67,8 +92,10 @@
       return;
     Admission_.HealthCheckPending_ = true;
     Request.Target_ = Admission_.HealthPath_;
+    // A check that waited for a start would never be made under load, and the
+    // target would stay cold in the belief of this node.
+    Admission_.Control_.coldStarts().onStart(Asked);
   }
-  TimePoint Asked = std::chrono::steady_clock::now();
   Request.Method_ = "GET";
   Request.Host_ = toText(Parts_.Settings_.TargetAddress_);
   Request.Repeatable_ = true;
@@ -82,33 +109,23 @@
 
 void TargetProxy::Impl::onHealthAnswer(const transport::HttpClientResult &Value,
                                        TimePoint Asked) {
-  const HttpHeaderNames &Names = Parts_.HeaderNames_;
   TimePoint Now = std::chrono::steady_clock::now();
-  // An answer without the instance is not one to a health check.
-  bool Answered =
-      Value.Response_ && (Names.AnsweringInstance_.empty() ||
-                          !transport::findHeader(Value.Response_->Headers_,
-                                                 Names.AnsweringInstance_)
-                               .empty());
-  Duration ColdLeft{};
-  if (Answered && !Names.ColdLeft_.empty())
-    if (auto Given = parseNumber(
-            transport::findHeader(Value.Response_->Headers_, Names.ColdLeft_),
-            MaxColdMs))
-      ColdLeft = std::chrono::milliseconds(Given.value());
+  std::optional<Duration> ColdLeft;
+  if (Value.Response_)
+    ColdLeft = readColdLeft(*Value.Response_, Parts_.HeaderNames_);
   Parts_.Metrics_.add(Metric::HealthChecksTotal, 1,
-                      Answered ? "answered" : "failed");
+                      ColdLeft ? "answered" : "failed");
   admission::AdmissionActions Actions;
   bool WasCold = false;
   bool IsCold = false;
   {
     std::lock_guard Lock(Admission_.Mutex_);
     Admission_.HealthCheckPending_ = false;
-    if (!Answered)
+    if (!ColdLeft)
       return;
     admission::ColdStartLimiter &ColdStarts = Admission_.Control_.coldStarts();
     WasCold = ColdStarts.isCold(Now);
-    ColdStarts.onHealthAnswer(ColdLeft, Asked, Now);
+    ColdStarts.onHealthAnswer(*ColdLeft, Asked, Now);
     IsCold = ColdStarts.isCold(Now);
     // Requests that waited because the target counted as cold start now.
     Actions = Admission_.Control_.expire(Now);
@@ -116,7 +133,7 @@
   if (WasCold != IsCold)
     logEvent(LogLevel::Info, IsCold ? "target_cold" : "target_warm",
              {{"cause", "health"},
-              {"left_ms", millisecondsText(ColdLeft)},
+              {"left_ms", millisecondsText(*ColdLeft)},
               {"age_ms", millisecondsText(Now - Asked)}});
   apply(Actions);
 }
--- a/unittests/Node/MeshFixture.cpp
+++ b/unittests/Node/MeshFixture.cpp
@@ -93,6 +93,8 @@
     : Environment_(View) {
   const char *Arguments[] = {"marigold-node", nullptr};
   Settings_ = parseSettings<NodeSettings>(1, Arguments).value().Settings_;
+  if (View.Configure_)
+    View.Configure_(Settings_);
   transport::PeerOptions Options;
   Options.Mesh_ = hash64(Settings_.Mesh_);
   Options.OwnRecord_ = [this] { return Environment_.ownRecord(); };
--- a/unittests/Node/MeshFixture.h
+++ b/unittests/Node/MeshFixture.h
@@ -23,6 +23,8 @@
   std::shared_ptr<const config::Snapshot> Snapshot_;
   std::map<HostId, HostRecord> Hosts_;
   HttpHeaderNames HeaderNames_;
+  /// Changes the settings of each node that is added. May be empty.
+  std::function<void(NodeSettings &)> Configure_;
   std::atomic<std::uint64_t> Generation_ = 1;
 };
 
--- a/unittests/Node/WaitingCallTest.cpp
+++ b/unittests/Node/WaitingCallTest.cpp
@@ -177,6 +177,29 @@
   checkWaitingIsRefused();
 }
 
+// Guards against requests that reach a target of an evacuated failure domain
+// because they waited when the evacuation became known.
+TEST_CASE_FIXTURE(WaitingCallFixture,
+                  "queued call is refused when an evacuation begins") {
+  fillSlotAndQueue();
+  Own_.Evacuated_ = true;
+  Node_->Target_->onOwnTarget(Own_);
+  checkWaitingIsRefused();
+  CHECK(Node_->Metrics_.value(Metric::RefusedTotal, "evacuated") == 1);
+}
+
+// Guards against the same behind the queue, where a request waits for a
+// connection.
+TEST_CASE_FIXTURE(WaitingCallFixture,
+                  "call that waits for a connection is refused when an "
+                  "evacuation begins") {
+  fillSlotAndConnections();
+  Own_.Evacuated_ = true;
+  Node_->Target_->onOwnTarget(Own_);
+  checkWaitingIsRefused();
+  CHECK(Node_->Metrics_.value(Metric::RefusedTotal, "evacuated") == 1);
+}
+
 // Guards against refusing queued requests that the next instance of the same
 // service may run.
 TEST_CASE_FIXTURE(WaitingCallFixture,
