Evacuation: no health checks of targets that get no requests

Cause: checks went on at an evacuated, leaving or unlisted target. Change: they are left out until requests are allowed again; one that waits for a connection is not sent. Test red before the change.

--- a/src/Node/TargetCold.cpp
+++ b/src/Node/TargetCold.cpp
@@ -88,7 +88,8 @@
       return;
     // The timer also repeats a check that could not be made.
     armHealthCheck();
-    if (Admission_.HealthCheckPending_ || !Admission_.Monitor_.isUp())
+    if (Admission_.HealthCheckPending_ || !Admission_.Monitor_.isUp() ||
+        refusalBy(Admission_.Own_, Admission_.Own_.Service_))
       return;
     Admission_.HealthCheckPending_ = true;
     Request.Target_ = Admission_.HealthPath_;
@@ -100,6 +101,17 @@
   Request.Host_ = toText(Parts_.Settings_.TargetAddress_);
   Request.Repeatable_ = true;
   Request.Deadline_ = Asked + HealthTimeout;
+  // Called while the pool ends its requests too, when this object may be gone.
+  Request.MayWrite_ = [Weak = weak_from_this()]() -> Result<void> {
+    auto Self = Weak.lock();
+    if (!Self)
+      return fail(ErrorCode::Cancelled);
+    std::lock_guard Lock(Self->Admission_.Mutex_);
+    const OwnTarget &Own = Self->Admission_.Own_;
+    if (auto Code = refusalBy(Own, Own.Service_))
+      return fail(*Code);
+    return success();
+  };
   Pool_.send(std::move(Request), [Weak = weak_from_this(), Asked](
                                      const transport::HttpClientResult &Value) {
     if (auto Self = Weak.lock())
--- a/unittests/Node/ColdCallTest.cpp
+++ b/unittests/Node/ColdCallTest.cpp
@@ -220,6 +220,25 @@
   CHECK(eventually([&] { return Node.Target_->load().StartRate_ != 0; }));
 }
 
+// Guards against health checks of targets that are to receive nothing.
+TEST_CASE_FIXTURE(ColdCallFixture, "evacuated target is not checked") {
+  Interval_ = milliseconds(50);
+  configure(5);
+  TestNode &Node = addCalledTarget();
+  REQUIRE(eventually([&] { return Checks_ >= 1; }));
+  OwnTarget Own = Node.Environment_.ownTarget();
+  Own.Evacuated_ = true;
+  Node.Target_->onOwnTarget(Own);
+  std::this_thread::sleep_for(milliseconds(100));
+  int Before = Checks_;
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(Checks_ == Before);
+  Own.Evacuated_ = false;
+  Node.Target_->onOwnTarget(Own);
+  CHECK(Node.Target_->load().StartRate_ != 0);
+  CHECK(eventually([&] { return Checks_ > Before; }));
+}
+
 TEST_CASE_FIXTURE(ColdCallFixture,
                   "service without a limit is not checked nor limited") {
   Interval_ = milliseconds(50);
