--- a/src/Config/Validator.cpp
+++ b/src/Config/Validator.cpp
@@ -438,4 +438,6 @@
          Name.back() != '-' && std::ranges::all_of(Name, isNameCharacter);
 }
 
+bool isValidPath(std::string_view Path) { return !findPathError(Path); }
+
 } // namespace marigold::config
--- a/src/Config/Validator.h
+++ b/src/Config/Validator.h
@@ -72,4 +72,7 @@
 /// neither starts nor ends with a hyphen.
 bool isValidName(std::string_view Name);
 
+/// Returns true when Path is valid for a route or a health check.
+bool isValidPath(std::string_view Path);
+
 } // namespace marigold::config
--- a/unittests/Config/DeltaTest.cpp
+++ b/unittests/Config/DeltaTest.cpp
@@ -164,4 +164,17 @@
   CHECK(Applied.error().Code_ == ErrorCode::SnapshotInvalid);
 }
 
+// Guards against a peer whose delta makes this node request a path that the
+// text does not allow.
+TEST_CASE_FIXTURE(DeltaFixture, "delta with a bad health path is refused") {
+  ServiceModel Earlier{1, "m", {defaultService("a")}};
+  ServiceModel Later = Earlier;
+  Later.Services_[0].HealthPath_ = "/a\r\nx: y";
+  auto Old = buildSnapshot(Earlier, {1, 1});
+  auto New = buildSnapshot(Later, {1, 2});
+  auto Applied = applyDelta(*Old, makeDelta(*Old, *New));
+  REQUIRE_FALSE(Applied);
+  CHECK(Applied.error().Code_ == ErrorCode::SnapshotInvalid);
+}
+
 } // namespace marigold::config
--- a/unittests/Config/SnapshotTest.cpp
+++ b/unittests/Config/SnapshotTest.cpp
@@ -109,6 +109,14 @@
       [](ServiceModel &Model) {
         Model.Services_[0].Objective_.Availability_ = 0.99912345678;
       },
+      [](ServiceModel &Model) { Model.Services_[0].HealthPath_ = "health"; },
+      [](ServiceModel &Model) { Model.Services_[0].HealthPath_ = "/a\r\nb"; },
+      [](ServiceModel &Model) {
+        Model.Services_[0].ColdTime_ = std::chrono::milliseconds(-1);
+      },
+      [](ServiceModel &Model) {
+        Model.Services_[0].ColdRate_ = MaxColdRate + 1;
+      },
       [](ServiceModel &Model) { Model.Services_[0].Routes_.clear(); },
       [](ServiceModel &Model) {
         Model.Services_[0].Routes_.push_back(defaultRoute());
--- a/unittests/Config/TextParserTest.cpp
+++ b/unittests/Config/TextParserTest.cpp
@@ -381,4 +381,33 @@
   CHECK(Parsed.error().back().Code_ == ErrorCode::TooMany);
 }
 
+TEST_CASE_FIXTURE(ParserFixture, "limits of cold targets are parsed") {
+  auto Parsed = parseText(withService("    cold_time: 4500ms\n"
+                                      "    cold_rate: 30\n"
+                                      "    health_path: /health\n"
+                                      "    routes:\n      - path: /\n"),
+                          "f");
+  REQUIRE(Parsed);
+  const ServiceConfig &Service = Parsed.value().Services_.front();
+  CHECK(Service.ColdTime_ == std::chrono::milliseconds(4500));
+  CHECK(Service.ColdRate_ == 30);
+  CHECK(Service.HealthPath_ == "/health");
+}
+
+TEST_CASE_FIXTURE(ParserFixture, "bad limits of cold targets are refused") {
+  const BadText Rows[] = {
+      {"    cold_time: 601s\n", ErrorCode::OutOfRange, 5},
+      {"    cold_time: 4m3s\n", ErrorCode::WrongUnit, 5},
+      {"    cold_time: -1s\n", ErrorCode::WrongUnit, 5},
+      {"    cold_rate: 1000001\n", ErrorCode::OutOfRange, 5},
+      {"    cold_rate: many\n", ErrorCode::WrongType, 5},
+      {"    health_path: health\n", ErrorCode::BadName, 5},
+      {"    health_path: /a?b\n", ErrorCode::BadName, 5},
+      {"    health_path: [/a]\n", ErrorCode::WrongType, 5},
+  };
+  for (const BadText &Row : Rows)
+    checkRefused(withService(Row.Text_ + "    routes:\n      - path: /\n"),
+                 Row.Code_, Row.Line_);
+}
+
 } // namespace marigold::config
