Cold targets: the bound holds for arrivals, not only for starts

Cause: starts were counted at admission in windows of a second. A burst that waits for connections arrives late and one of the next second at once, both in one second of the target; a request could wait for a connection for longer than the window. Change: windows are longer by the time within which a start has to be written, and a request that is later is refused as not run while the target is cold.

--- a/src/Admission/ColdStartLimiter.h
+++ b/src/Admission/ColdStartLimiter.h
@@ -44,8 +44,12 @@
 ///   unknown, so only the slack is used until that second has passed.
 class ColdStartLimiter {
 public:
-  /// Length of the window in which starts are counted.
-  static constexpr Duration Window_ = std::chrono::seconds(1);
+  /// Time within which a request has to be written after its start. One that is
+  /// later, because it waited for a connection, must not be written.
+  static constexpr Duration MaxSendTime_ = std::chrono::milliseconds(100);
+  /// Length of the window in which starts are counted. A target counts the
+  /// arrivals in a second, and each comes up to MaxSendTime_ after its start.
+  static constexpr Duration Window_ = std::chrono::seconds(1) + MaxSendTime_;
   /// After the end of the cold time the limit doubles this often before it
   /// ends, each time for StepTime_.
   static constexpr unsigned Steps_ = 3;
--- a/src/Node/TargetRun.cpp
+++ b/src/Node/TargetRun.cpp
@@ -54,6 +54,7 @@
   case ErrorCode::TargetUnlisted:
   case ErrorCode::Draining:
   case ErrorCode::Evacuated:
+  case ErrorCode::TargetCold:
     return Failed.Cause_.Code_;
   default:
     break;
@@ -142,6 +143,11 @@
     return fail(*Code);
   if (Admission_.Own_.Instance_ != Instance)
     return fail(ErrorCode::TargetUnlisted);
+  // The start was counted in an earlier window.
+  TimePoint Now = std::chrono::steady_clock::now();
+  if (Now - Run.Forwarded_ > admission::ColdStartLimiter::MaxSendTime_ &&
+      Admission_.Control_.coldStarts().isLimiting(Now))
+    return fail(ErrorCode::TargetCold);
   return success();
 }
 
--- a/unittests/Node/WaitingCallTest.cpp
+++ b/unittests/Node/WaitingCallTest.cpp
@@ -4,8 +4,12 @@
 #include "MeshFixture.h"
 #include "TestSeed.h"
 
+#include "Admission/ColdStartLimiter.h"
+
 #include <doctest/doctest.h>
 
+#include <thread>
+
 namespace marigold::node {
 
 using transport::HttpExchange;
@@ -177,6 +181,28 @@
   checkWaitingIsRefused();
 }
 
+// Guards against a cold target that gets the starts of several seconds at once,
+// because they waited for a connection.
+TEST_CASE_FIXTURE(WaitingCallFixture,
+                  "call that waits long for a connection is refused while the "
+                  "target is cold") {
+  Node_->Settings_.ColdExcess_ = 1;
+  Node_->Settings_.ColdSlack_ = 100;
+  config::ServiceModel Model = config::toModel(*View_.Snapshot_);
+  Model.Services_.front().ColdRate_ = 50;
+  Model.Services_.front().ColdTime_ = std::chrono::seconds(30);
+  View_.Snapshot_ = config::buildSnapshot(std::move(Model), {1, 3});
+  fillSlotAndConnections();
+  std::this_thread::sleep_for(2 * admission::ColdStartLimiter::MaxSendTime_);
+  answerHeld();
+  CHECK(statusOf(Running_->receiveHttp()) == 200);
+  REQUIRE(eventually([&] { return Node_->Target_->load().Running_ == 0; }));
+  std::string Answer = Waiting_->receiveHttp();
+  CHECK(statusOf(Answer) == 503);
+  CHECK(fieldOf(Answer, "x-marigold-outcome") == "not-run");
+  CHECK(Target_->Runs_ == 1);
+}
+
 // Guards against requests that reach a target of an evacuated failure domain
 // because they waited when the evacuation became known.
 TEST_CASE_FIXTURE(WaitingCallFixture,
