--- a/src/Node/TargetCold.cpp
+++ b/src/Node/TargetCold.cpp
@@ -20,9 +20,9 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
 }
 
-/// Returns for how long the target stays cold, or nothing if the answer does not
-/// tell. Only a target that took the check is warm without saying so; a refusal
-/// may come from one that is starting or full.
+/// Returns for how long the target stays cold, or nothing if the answer does
+/// not tell. Only a target that took the check is warm without saying so; a
+/// refusal may come from one that is starting or full.
 std::optional<Duration> readColdLeft(const transport::HttpResponse &Answer,
                                      const HttpHeaderNames &Names) {
   // An answer without the instance is not one to a health check.
--- a/unittests/Admission/ColdStartTest.cpp
+++ b/unittests/Admission/ColdStartTest.cpp
@@ -133,13 +133,13 @@
                   "no second has more arrivals than allowed") {
   Random Rng(testSeed(2));
   std::vector<TimePoint> Arrivals;
-  auto MaxLate = static_cast<int>(
-      ColdStartLimiter::MaxSendTime_ / milliseconds(1));
+  auto MaxLate =
+      static_cast<int>(ColdStartLimiter::MaxSendTime_ / milliseconds(1));
   for (TimePoint End = Now_ + milliseconds(2900); Now_ < End;
        Now_ += milliseconds(5))
     for (int Starting = startAll(); Starting > 0; --Starting)
-      Arrivals.push_back(
-          Now_ + milliseconds(static_cast<int>(Rng.below(MaxLate))));
+      Arrivals.push_back(Now_ +
+                         milliseconds(static_cast<int>(Rng.below(MaxLate))));
   for (TimePoint First : Arrivals)
     CHECK(std::ranges::count_if(Arrivals, [&](TimePoint At) {
             return At >= First && At < First + seconds(1);
