Cold targets: no wait is expected beyond the end of the limit

Cause: forecasts counted on at the rate of the cold target, so requests were refused as too late, and the timer of a queued one came up to a second after the end. Change: the end of the limit bounds the time. Test red before.

--- a/src/Admission/ColdStartLimiter.cpp
+++ b/src/Admission/ColdStartLimiter.cpp
@@ -58,9 +58,10 @@
 TimePoint ColdStartLimiter::nextStart(std::size_t Before, TimePoint Now) const {
   if (!isLimiting(Now))
     return Now;
+  TimePoint End = ColdUntil_ + Steps_ * StepTime_;
   std::size_t Allowed = allowance(Now);
   if (Allowed == 0)
-    return Begin_ + Window_;
+    return std::min(Begin_ + Window_, End);
   // A start may follow the one that is Allowed places before it by a window.
   auto Recent = std::ranges::upper_bound(Starts_, Now - Window_);
   auto InWindow = static_cast<std::size_t>(Starts_.end() - Recent);
@@ -68,8 +69,9 @@
   Duration Wait{};
   for (; Place >= InWindow; Place -= Allowed, Wait += Window_)
     if (Place < Allowed)
-      return Now + Wait;
-  return std::max(*(Recent + static_cast<std::ptrdiff_t>(Place)) + Wait, Now);
+      return std::min(Now + Wait, End);
+  TimePoint Free = *(Recent + static_cast<std::ptrdiff_t>(Place)) + Wait;
+  return std::min(std::max(Free, Now), End);
 }
 
 void ColdStartLimiter::onStart(TimePoint Now) {
--- a/unittests/Admission/ColdStartTest.cpp
+++ b/unittests/Admission/ColdStartTest.cpp
@@ -171,6 +171,15 @@
         Now_ + 2 * ColdStartLimiter::Window_);
 }
 
+// Guards against refusing requests because of a wait that ends with the limit.
+TEST_CASE_FIXTURE(ColdTargetFixture,
+                  "no request is expected to wait beyond the limit") {
+  startAll();
+  CHECK(Limiter_.nextStart(100 * Allowed, Now_) ==
+        Now_ + seconds(3) +
+            ColdStartLimiter::Steps_ * ColdStartLimiter::StepTime_);
+}
+
 TEST_CASE_FIXTURE(ColdTargetFixture, "limit doubles in steps when cold ends") {
   Now_ += seconds(3);
   CHECK(startAll() == 2 * Allowed);
