Evacuation: the target's node goes by the listed failure domain

Cause: it used that of its settings, callers' nodes that of the list; where they differ the target kept running what waited. Test red before the change.

--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -154,7 +154,8 @@
   OwnTarget Updated;
   Updated.Service_ = OwnService_;
   Updated.ConfiguredService_ = OwnService_;
-  if (const auto *Listed = Directory_.find(Probes_.ownRecord().Id_)) {
+  const auto *Listed = Directory_.find(Probes_.ownRecord().Id_);
+  if (Listed) {
     Updated.Service_ = Listed->Service_;
     Updated.Instance_ = Listed->Instance_;
     Updated.Slots_ = Listed->Slots_;
@@ -163,7 +164,8 @@
   } else {
     Updated.Unlisted_ = Directory_.isKnown();
   }
-  Updated.Evacuated_ = Directory_.isEvacuated(Settings_.FailureDomain_);
+  Updated.Evacuated_ = Directory_.isEvacuated(
+      Listed ? Listed->FailureDomain_ : Settings_.FailureDomain_);
   if (Updated == OwnTarget_)
     return;
   OwnTarget_ = std::move(Updated);
--- a/unittests/Control/SharedListTest.cpp
+++ b/unittests/Control/SharedListTest.cpp
@@ -286,6 +286,16 @@
   CHECK(evacuatedNodes().size() == Count_);
 }
 
+// Guards against a node whose settings name another failure domain than the
+// list does for its target, which callers' nodes go by.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "evacuation goes by the listed failure domain") {
+  source().Targets_->front().FailureDomain_ = "third";
+  evacuate({"third"});
+  run(PropagationLimit_);
+  CHECK(evacuatedNodes() == std::set<unsigned>{1});
+}
+
 // Guards against an evacuation that is known only to the readers that have
 // died.
 TEST_CASE_FIXTURE(SharedListFixture,
