--- a/unittests/Admission/ColdStartTest.cpp
+++ b/unittests/Admission/ColdStartTest.cpp
@@ -119,13 +119,34 @@
 TEST_CASE_FIXTURE(ColdTargetFixture,
                   "cold target starts the tolerated number in any second") {
   CHECK(startAll() == Allowed);
-  CHECK(Limiter_.nextStart(0, Now_) == Now_ + seconds(1));
-  Now_ += milliseconds(999);
+  CHECK(Limiter_.nextStart(0, Now_) == Now_ + ColdStartLimiter::Window_);
+  Now_ += ColdStartLimiter::Window_ - milliseconds(1);
   CHECK(startAll() == 0);
   Now_ += milliseconds(1);
   CHECK(startAll() == Allowed);
 }
 
+// Load pattern: a burst that is sent over new connections arrives late, and the
+// one that follows over the same connections at once. Both must not fall into
+// one second.
+TEST_CASE_FIXTURE(ColdTargetFixture,
+                  "no second has more arrivals than allowed") {
+  Random Rng(testSeed(2));
+  std::vector<TimePoint> Arrivals;
+  auto MaxLate =
+      static_cast<int>(ColdStartLimiter::MaxSendTime_ / milliseconds(1));
+  for (TimePoint End = Now_ + milliseconds(2900); Now_ < End;
+       Now_ += milliseconds(5))
+    for (int Starting = startAll(); Starting > 0; --Starting)
+      Arrivals.push_back(Now_ +
+                         milliseconds(static_cast<int>(Rng.below(MaxLate))));
+  for (TimePoint First : Arrivals)
+    CHECK(std::ranges::count_if(Arrivals, [&](TimePoint At) {
+            return At >= First && At < First + seconds(1);
+          }) <= Allowed);
+  CHECK(Arrivals.size() >= 2 * Allowed);
+}
+
 // Guards against a window that begins anew at a fixed time, in which twice the
 // number could start around its end.
 TEST_CASE_FIXTURE(ColdTargetFixture,
@@ -146,7 +167,17 @@
 TEST_CASE_FIXTURE(ColdTargetFixture,
                   "requests that wait follow at the tolerated rate") {
   startAll();
-  CHECK(Limiter_.nextStart(Allowed, Now_) == Now_ + seconds(2));
+  CHECK(Limiter_.nextStart(Allowed, Now_) ==
+        Now_ + 2 * ColdStartLimiter::Window_);
+}
+
+// Guards against refusing requests because of a wait that ends with the limit.
+TEST_CASE_FIXTURE(ColdTargetFixture,
+                  "no request is expected to wait beyond the limit") {
+  startAll();
+  CHECK(Limiter_.nextStart(100 * Allowed, Now_) ==
+        Now_ + seconds(3) +
+            ColdStartLimiter::Steps_ * ColdStartLimiter::StepTime_);
 }
 
 TEST_CASE_FIXTURE(ColdTargetFixture, "limit doubles in steps when cold ends") {
@@ -241,4 +272,24 @@
   CHECK(Control_.load(Begin_).StartRate_ == Allowed);
 }
 
+// Guards against a request that waits although slot and start are free: its
+// timer was replaced just after the start had become possible.
+TEST_CASE_FIXTURE(ReturnUnderLoadFixture,
+                  "start that has become possible is due at once") {
+  Control_.coldStarts().configure(Limits);
+  Control_.coldStarts().onTargetStarted(Begin_);
+  std::uint64_t Id = 0;
+  while (Control_.queued() == 0) {
+    CallTicket Ticket{++Id, Priority::Normal, Begin_ + seconds(60)};
+    if (Control_.submit(Ticket, Begin_).Admission_ == Admission::Run)
+      Control_.finish(Id, {.Latency_ = milliseconds(1)}, Begin_);
+  }
+  TimePoint Due = Control_.nextColdStart(Begin_);
+  REQUIRE(Due > Begin_);
+  Due += milliseconds(5);
+  CHECK(Control_.nextColdStart(Due) <= Due);
+  CHECK(Control_.expire(Due).Start_.size() == 1);
+  CHECK(Control_.nextColdStart(Due) == TimePoint::max());
+}
+
 } // namespace marigold::admission
