Clients beyond the limits: an account of memory, and who gives way

Cause: each connection kept within its limits, nothing bounded their sum. Change: MemoryAccount counts what connections hold for clients, bounded by half of memory-limit; ShedPolicy says who gives way; least progress of bodies and readers; connections follow from max-descriptors, and one without a request is closed for a new one. Large blocks go back to the system when they are freed. Off without memory-limit, except minimum rates and the places of connections. Not covered: streams between nodes and bodies on their way to the target.

--- a/src/Node/CallerProxy.cpp
+++ b/src/Node/CallerProxy.cpp
@@ -6,6 +6,13 @@
 
 #include "Config/Limits.h"
 #include "Config/Snapshot.h"
+#include "Support/Log.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <limits>
+#include <mutex>
 
 namespace marigold::node {
 
@@ -18,6 +25,42 @@
 // the caller gets the specific reason.
 constexpr std::uint64_t DefaultBodyLimit = std::size_t{64} * 1024;
 
+// Clients get one part in MemoryShare of the host's memory. The rest is for the
+// process itself, peers, targets and the configuration source.
+constexpr std::uint64_t MemoryShare = 2;
+// Descriptors for the same purposes, at most half of all.
+constexpr std::uint64_t ReservedDescriptors = 1024;
+
+/// Descriptors that the process may use: the setting, or the limit of the
+/// process if it is zero.
+std::uint64_t maxDescriptors(std::uint64_t Setting) {
+  rlimit Limit{};
+  if (Setting != 0 || getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return Setting != 0 ? Setting : std::numeric_limits<std::uint64_t>::max();
+  return Limit.rlim_cur;
+}
+
+/// Logs at most one shed connection per second; the others are counted in its
+/// next line.
+class ShedLog {
+public:
+  void log(std::string_view Reason, TimePoint Now) {
+    std::lock_guard Lock(Mutex_);
+    ++Count_;
+    if (Now < Next_)
+      return;
+    Next_ = Now + std::chrono::seconds(1);
+    logEvent(LogLevel::Warning, "connection_shed",
+             {{"reason", std::string(Reason)},
+              {"count", std::to_string(std::exchange(Count_, 0))}});
+  }
+
+private:
+  std::mutex Mutex_;
+  TimePoint Next_{};
+  std::uint64_t Count_ = 0;
+};
+
 } // namespace
 
 class CallerProxy::Impl : public std::enable_shared_from_this<Impl> {
@@ -49,9 +92,35 @@
                   outcomeText(errorOutcome(Code)));
       Metrics.add(Metric::CallErrorsTotal, 1, "none", errorText(Code));
     };
+    setResourceLimits(Values, Context);
     return Values;
   }
 
+  /// Derives the limits of memory, connections and rates from the settings.
+  static void setResourceLimits(transport::HttpServerOptions &Values,
+                                const std::shared_ptr<CallerContext> &Context) {
+    const NodeSettings &Settings = Context->Parts_.Settings_;
+    MetricsRegistry &Metrics = Context->Parts_.Metrics_;
+    if (Settings.MemoryLimit_ > 0)
+      Values.Memory_ = std::make_shared<transport::MemoryAccount>(
+          Settings.MemoryLimit_ * 1'000'000 / MemoryShare);
+    std::uint64_t Descriptors = maxDescriptors(Settings.MaxDescriptors_);
+    Values.Connections_ = std::clamp<std::uint64_t>(
+        Descriptors - std::min(Descriptors / 2, ReservedDescriptors), 1,
+        Values.Connections_);
+    Values.BodyMinRate_ = Settings.BodyMinRate_;
+    Values.ReadMinRate_ = Settings.ReadMinRate_;
+    Values.OnShed_ = [&Metrics, Limiter = std::make_shared<ShedLog>()](
+                         std::string_view Reason) {
+      Metrics.add(Metric::ConnectionsShedTotal, 1, Reason);
+      Limiter->log(Reason, std::chrono::steady_clock::now());
+    };
+    Values.OnHeld_ = [&Metrics](std::uint64_t Bytes) {
+      Metrics.set(Metric::HeldBytes, static_cast<std::int64_t>(Bytes),
+                  "callers");
+    };
+  }
+
   static void onRequest(const std::shared_ptr<CallerContext> &Context,
                         HttpRequest Request,
                         std::shared_ptr<HttpExchange> Exchange) {
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -17,6 +17,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <mutex>
 #include <optional>
@@ -35,6 +37,8 @@
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
 /// Interval at which the settings file is read again on a host without calls.
 constexpr Duration SettingsInterval = std::chrono::seconds(1);
+/// Size in bytes from which a block of memory is returned when it is freed.
+constexpr int LargeBlock = 128 * 1024;
 /// Margin between the end of draining and the time at which the platform kills
 /// a stopping process.
 constexpr Duration KillMargin = std::chrono::milliseconds(600);
@@ -101,6 +105,11 @@
         Admin_(Io_, Metrics_), ReadyServer_(Io_, Metrics_) {}
 
   Result<void> start() {
+    // Returns large blocks to the system as soon as they are freed. Otherwise
+    // the allocator raises this threshold, and its free lists would count
+    // towards the memory limit.
+    if (Settings_.MemoryLimit_ > 0)
+      mallopt(M_MMAP_THRESHOLD, LargeBlock);
     Control_.attach(
         {CallPool_, SyncPool_, Server_},
         [this](const CrashNotice &Notice) { Target_.onCrashNotice(Notice); },
--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -19,6 +19,8 @@
 // read and write would cost two system calls per request.
 constexpr Duration SweepMaximum = std::chrono::milliseconds(250);
 constexpr Duration SweepMinimum = std::chrono::milliseconds(5);
+// Connections above the limit while others are being closed for them.
+constexpr std::size_t ClosingMargin = 8;
 
 Duration sweepInterval(const HttpServerOptions &Options) {
   Duration Shortest = std::min({Options.HeaderTimeout_, Options.BodyTimeout_,
@@ -47,10 +49,17 @@
   }
 
   void accept(tcp::socket Socket) {
-    if (*Open_ >= Options_->Connections_)
+    if (*Open_ >= Options_->Connections_ && !closeUnused()) {
+      countShed("connections");
       return;
+    }
     auto Connection = std::make_shared<HttpServerConnection>(
         std::move(Socket), Options_, Open_, Busy_);
+    if (!Connection->openMemory()) {
+      closeUnused();
+      countShed("memory");
+      return;
+    }
     {
       std::lock_guard Lock(Mutex_);
       if (Stopped_)
@@ -62,6 +71,27 @@
     Connection->start();
   }
 
+  /// Closes one connection without a request; returns whether there was one.
+  bool closeUnused() {
+    // Connections that are being closed still count for a moment.
+    if (*Open_ >= Options_->Connections_ + ClosingMargin)
+      return false;
+    auto Open = connections();
+    std::vector<UnusedConnection> States;
+    States.reserve(Open.size());
+    for (const auto &Connection : Open)
+      States.push_back(Connection->unused());
+    auto Chosen = chooseConnectionToClose(States);
+    if (Chosen)
+      Open[*Chosen]->closeUnused();
+    return Chosen.has_value();
+  }
+
+  void countShed(std::string_view Reason) {
+    if (Options_->OnShed_)
+      Options_->OnShed_(Reason);
+  }
+
   void beginDrain() {
     Draining_ = true;
     for (const auto &Connection : connections())
@@ -81,6 +111,8 @@
           TimePoint Now = std::chrono::steady_clock::now();
           for (const auto &Connection : Self->connections())
             Connection->checkTimeout(Now);
+          if (Self->Options_->OnHeld_ && Self->Options_->Memory_)
+            Self->Options_->OnHeld_(Self->Options_->Memory_->held());
           std::lock_guard Lock(Self->Mutex_);
           Self->armSweep();
         });
--- a/src/Transport/HttpServer.h
+++ b/src/Transport/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Transport/HttpTypes.h"
+#include "Transport/MemoryAccount.h"
 
 #include "Schema/SettingTypes.h"
 #include "Support/Result.h"
@@ -49,9 +50,21 @@
   Duration WriteTimeout_ = std::chrono::seconds(30);
   /// Maximum idle time between two requests.
   Duration IdleTimeout_ = std::chrono::seconds(75);
-  /// Maximum number of concurrent connections. Further connections are closed
-  /// immediately after they are accepted.
+  /// Maximum number of concurrent connections. A further one takes the place of
+  /// one without a request, or is closed immediately after it is accepted.
   std::size_t Connections_ = 4096;
+  /// Account of the memory held for clients; null for none.
+  std::shared_ptr<MemoryAccount> Memory_;
+  /// Bytes per second below which a request body is refused, or a client that
+  /// reads its answer is disconnected; zero for none.
+  std::uint64_t BodyMinRate_ = 0;
+  std::uint64_t ReadMinRate_ = 0;
+  /// Called with the reason for each connection that is closed, or whose
+  /// request is refused, to stay within memory, connections or the minimum
+  /// rates; may be empty.
+  std::function<void(std::string_view)> OnShed_;
+  /// Called regularly with the bytes held; may be empty.
+  std::function<void(std::uint64_t)> OnHeld_;
 };
 
 /// HTTP/1.1 server. Malformed and ambiguous requests receive a response with
--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -30,6 +30,10 @@
 // Closing it with unread data would make the kernel send a reset, which can
 // discard the response before the client has read it.
 constexpr auto LingerTime = std::chrono::seconds(1);
+// Bytes counted for a connection whatever it holds: its buffers and a header
+// section. Bodies below it are part of it, so that small requests and answers
+// do not touch the account.
+constexpr std::size_t ConnectionMemory = std::size_t{16} * 1024;
 constexpr auto NoDeadline = TimePoint::max().time_since_epoch().count();
 // Empty lines before a request are ignored (RFC 9112, section 2.2).
 constexpr unsigned MaxEmptyLines = 2;
@@ -88,7 +92,9 @@
     std::shared_ptr<std::atomic<std::size_t>> Open,
     std::shared_ptr<std::atomic<std::size_t>> Busy)
     : Socket_(std::move(Socket)), Options_(std::move(Options)),
-      Open_(std::move(Open)), Busy_(std::move(Busy)), Deadline_(NoDeadline) {
+      Open_(std::move(Open)), Busy_(std::move(Busy)), Deadline_(NoDeadline),
+      UnusedSince_(
+          std::chrono::steady_clock::now().time_since_epoch().count()) {
   ++*Open_;
 }
 
@@ -96,6 +102,22 @@
   --*Open_;
   if (CountedBusy_)
     --*Busy_;
+  if (Account_)
+    Options_->Memory_->close(*Account_);
+}
+
+bool HttpServerConnection::openMemory() {
+  if (!Options_->Memory_)
+    return true;
+  Account_ = Options_->Memory_->open(
+      ConnectionMemory,
+      [Weak = weak_from_this()] {
+        // Not called directly: the caller may be a handler of this connection.
+        if (auto Self = Weak.lock())
+          asio::post(Self->Socket_.get_executor(), [Self] { Self->giveWay(); });
+      },
+      std::chrono::steady_clock::now());
+  return Account_.has_value();
 }
 
 void HttpServerConnection::start() {
@@ -125,6 +147,117 @@
   bool Busy = Phase_ != Phase::Closed && (Phase_ != Phase::Head || !isIdle());
   if (std::exchange(CountedBusy_, Busy) != Busy)
     *Busy_ += Busy ? 1 : std::size_t(-1);
+  UnusedState Unused = UnusedState::InUse;
+  if (Phase_ == Phase::Head && Pending_.empty())
+    Unused = Parser_ || !HadRequest_ ? UnusedState::Silent : UnusedState::Idle;
+  if (UnusedState_.exchange(Unused) != Unused)
+    UnusedSince_ = std::chrono::steady_clock::now().time_since_epoch().count();
+}
+
+void HttpServerConnection::closeUnused() {
+  asio::post(Socket_.get_executor(), [Self = shared_from_this()] {
+    boost::system::error_code Ignored;
+    bool Unread = !Self->Parser_ && Self->Socket_.available(Ignored) > 0;
+    if (Self->Phase_ != Phase::Head || !Self->Pending_.empty() || Unread)
+      return;
+    Self->countShed("connections");
+    Self->shutDown();
+  });
+}
+
+void HttpServerConnection::countShed(std::string_view Reason) {
+  if (Options_->OnShed_)
+    Options_->OnShed_(Reason);
+}
+
+std::size_t HttpServerConnection::bodyCapacity() {
+  if (Phase_ == Phase::Body && Parser_)
+    return Parser_->get().body().capacity();
+  return Request_.Body_.capacity();
+}
+
+bool HttpServerConnection::updateMemory(std::size_t Added) {
+  if (!Account_ || Phase_ == Phase::Closed)
+    return true;
+  std::size_t Body = bodyCapacity() + Added;
+  std::size_t Kept = Phase_ == Phase::Held ? Body : 0;
+  SheddableMemory Sheddable;
+  if (Phase_ == Phase::Body) {
+    Sheddable = BodyProgress_;
+    Sheddable.Bytes_ = Body + Buffer_.capacity();
+  }
+  std::size_t Answers = 0;
+  for (const auto &Place : Pending_) {
+    Kept += Place->RequestBytes_;
+    Answers += Place->ResponseBytes_;
+  }
+  if (Answers > Sheddable.Bytes_) {
+    Kept += Sheddable.Bytes_;
+    Sheddable = AnswerProgress_;
+    Sheddable.Bytes_ = Answers;
+  } else {
+    Kept += Answers;
+  }
+  std::size_t Total = Kept + Sheddable.Bytes_;
+  if (Total <= ConnectionMemory && ReportedBytes_ <= ConnectionMemory)
+    return true;
+  if (Total <= ConnectionMemory)
+    Sheddable = {};
+  if (!Options_->Memory_->resize(*Account_, ConnectionMemory + Kept, Sheddable,
+                                 std::chrono::steady_clock::now()))
+    return false;
+  ReportedBytes_ = Total;
+  return true;
+}
+
+bool HttpServerConnection::reserveBody() {
+  std::string &Body = Parser_->get().body();
+  // A body of known length is reserved as a whole by the parser.
+  std::uint64_t Needed =
+      std::min<std::uint64_t>(Body.size() + Buffer_.size(), BodyLimit_);
+  Needed = std::max(Needed, Parser_->content_length().value_or(0));
+  if (Needed <= Body.capacity())
+    return updateMemory();
+  std::uint64_t Grown = Body.capacity() + Body.capacity() / 2;
+  Needed = std::max(Needed, std::min(Grown, BodyLimit_));
+  if (!updateMemory(Needed - Body.capacity()))
+    return false;
+  // std::string::reserve would at least double the capacity.
+  std::string Moved;
+  Moved.reserve(Needed);
+  Moved.append(Body);
+  Body.swap(Moved);
+  return true;
+}
+
+void HttpServerConnection::giveWay() {
+  if (Phase_ == Phase::Closed)
+    return;
+  std::size_t Answers = 0;
+  for (const auto &Place : Pending_)
+    Answers += Place->ResponseBytes_;
+  bool Receiving = Phase_ == Phase::Body;
+  if (Receiving && bodyCapacity() >= Answers) {
+    countShed("memory");
+    refuse(ErrorCode::NodeMemory);
+  } else if (Answers > 0) {
+    countShed("memory");
+    shutDown();
+  }
+  updateMemory();
+}
+
+void HttpServerConnection::checkRates(TimePoint Now) {
+  if (Phase_ == Phase::Body &&
+      BodyRate_.isTooSlow(Now, BodyProgress_.Moved_, Options_->BodyMinRate_)) {
+    countShed("body-rate");
+    refuse(ErrorCode::BodyTooSlow);
+  }
+  if (Writing_ && AnswerRate_.isTooSlow(Now, AnswerProgress_.Moved_,
+                                        Options_->ReadMinRate_)) {
+    countShed("read-rate");
+    shutDown();
+  }
 }
 
 void HttpServerConnection::read() {
@@ -157,6 +290,10 @@
   if (Phase_ != Phase::Lingering) {
     Buffer_.commit(
         asio::buffer_copy(Buffer_.prepare(Size), asio::buffer(Input_, Size)));
+    if (Phase_ == Phase::Body) {
+      BodyProgress_.Moved_ += Size;
+      BodyProgress_.LastProgress_ = std::chrono::steady_clock::now();
+    }
     advance();
   }
   read();
@@ -286,7 +423,11 @@
   }
   Parser_->body_limit(Limit);
   Parser_->eager(true);
+  BodyLimit_ = Limit;
   beginPhase(Phase::Body, Options_->BodyTimeout_);
+  TimePoint Now = std::chrono::steady_clock::now();
+  BodyProgress_ = {0, Buffer_.size(), Now, Now};
+  BodyRate_.begin(Now);
   if (http::token_list(Parser_->get()[http::field::expect])
           .exists("100-continue") &&
       Buffer_.size() == 0 && Pending_.empty()) {
@@ -300,6 +441,11 @@
 
 void HttpServerConnection::parseBody() {
   boost::system::error_code Error;
+  if (Buffer_.size() != 0 && !reserveBody()) {
+    countShed("memory");
+    refuse(ErrorCode::NodeMemory);
+    return;
+  }
   while (!Parser_->is_done() && Buffer_.size() != 0) {
     std::size_t Used = Parser_->put(Buffer_.data(), Error);
     Buffer_.consume(Used);
@@ -316,14 +462,17 @@
   if (!Parser_->is_done())
     return;
   Request_.Body_ = std::move(Parser_->get().body());
+  if (Request_.Body_.capacity() - Request_.Body_.size() > ConnectionMemory)
+    Request_.Body_.shrink_to_fit();
   handle();
 }
 
 void HttpServerConnection::handle() {
   Parser_.reset();
-  if (!Pending_.empty() && !isRepeatable(Request_))
+  if (!Pending_.empty() && !isRepeatable(Request_)) {
     beginPhase(Phase::Held, std::nullopt);
-  else
+    updateMemory();
+  } else
     passOn();
 }
 
@@ -336,15 +485,26 @@
   Place->Close_ = !KeepAlive_;
   Place->HeadMethod_ = HeadMethod_;
   LastRequest_ = LastRequest_ || Place->Close_;
+  Place->RequestBytes_ = Request_.Body_.capacity();
+  HadRequest_ = true;
   Pending_.push_back(Place);
   beginPhase(Phase::Head, std::nullopt);
-  Options_->OnRequest_(
-      std::exchange(Request_, {}),
-      std::make_shared<ServerExchange>(shared_from_this(), Place));
+  HttpRequest Request = std::exchange(Request_, {});
+  if (Buffer_.size() == 0 && Buffer_.capacity() > ConnectionMemory)
+    Buffer_.shrink_to_fit();
+  if (!updateMemory()) {
+    Pending_.pop_back();
+    countShed("memory");
+    refuse(ErrorCode::NodeMemory);
+    return;
+  }
+  Options_->OnRequest_(std::move(Request), std::make_shared<ServerExchange>(
+                                               shared_from_this(), Place));
 }
 
 void HttpServerConnection::refuse(ErrorCode Code) {
   Parser_.reset();
+  Request_ = {};
   if (Options_->OnRefused_)
     Options_->OnRefused_(Code);
   auto Place = std::make_shared<PendingResponse>();
@@ -353,6 +513,7 @@
   LastRequest_ = true;
   Pending_.push_back(std::move(Place));
   beginPhase(Phase::Head, std::nullopt);
+  updateMemory();
   writeNext();
 }
 
@@ -365,6 +526,18 @@
                      return;
                    Place->Notifier_.reset();
                    Place->Response_ = std::move(Response);
+                   Place->RequestBytes_ = 0;
+                   Place->ResponseBytes_ = Place->Response_->Body_.capacity();
+                   if (!Self->Writing_) {
+                     TimePoint Now = std::chrono::steady_clock::now();
+                     Self->AnswerProgress_ = {0, 0, Now, Now};
+                   }
+                   // The request has run, so that it cannot be refused.
+                   if (!Self->updateMemory()) {
+                     Self->countShed("memory");
+                     Self->shutDown();
+                     return;
+                   }
                    Self->writeNext();
                  });
 }
@@ -393,13 +566,33 @@
   Writing_ = true;
   WriteDeadline_ = std::chrono::steady_clock::now() + Options_->WriteTimeout_;
   updateDeadline();
-  http::async_write(
-      Socket_, *Message_,
+  TimePoint Now = std::chrono::steady_clock::now();
+  AnswerProgress_ = {0, 0, Now, Now};
+  AnswerRate_.begin(Now);
+  Serializer_.emplace(*Message_);
+  writeSome();
+}
+
+void HttpServerConnection::writeSome() {
+  http::async_write_some(
+      Socket_, *Serializer_,
       [Self = shared_from_this()](boost::system::error_code Error,
-                                  std::size_t) { Self->onWritten(Error); });
+                                  std::size_t Size) {
+        if (Error || Self->Serializer_->is_done() ||
+            Self->Phase_ == Phase::Closed) {
+          Self->onWritten(Error);
+          return;
+        }
+        Self->AnswerProgress_.Moved_ += Size;
+        Self->AnswerProgress_.LastProgress_ = std::chrono::steady_clock::now();
+        // Reports progress; less is held than before, which is never refused.
+        Self->updateMemory();
+        Self->writeSome();
+      });
 }
 
 void HttpServerConnection::onWritten(boost::system::error_code Error) {
+  Serializer_.reset();
   Message_.reset();
   Writing_ = false;
   WriteDeadline_ = TimePoint::max();
@@ -410,6 +603,7 @@
     return;
   }
   Pending_.pop_front();
+  updateMemory();
   if (Closing_) {
     boost::system::error_code Ignored;
     Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
@@ -431,8 +625,15 @@
 }
 
 void HttpServerConnection::checkTimeout(TimePoint Now) {
-  if (Now.time_since_epoch().count() < Deadline_)
+  if (Now.time_since_epoch().count() < Deadline_) {
+    // The deadline of a transfer is set, so that others cost nothing.
+    if (Deadline_ != NoDeadline && UnusedState_ == UnusedState::InUse &&
+        (Options_->BodyMinRate_ != 0 || Options_->ReadMinRate_ != 0))
+      asio::dispatch(Socket_.get_executor(), [Self = shared_from_this()] {
+        Self->checkRates(std::chrono::steady_clock::now());
+      });
     return;
+  }
   asio::dispatch(Socket_.get_executor(), [Self = shared_from_this()] {
     auto Current = std::chrono::steady_clock::now();
     if (Current.time_since_epoch().count() >= Self->Deadline_)
@@ -470,6 +671,9 @@
   beginPhase(Phase::Closed, std::nullopt);
   boost::system::error_code Ignored;
   Socket_.close(Ignored);
+  // The rest is released with the connection, once its last write has ended.
+  Parser_.reset();
+  Request_ = {};
   for (const auto &Place : std::exchange(Pending_, {}))
     if (auto Notifier = std::exchange(Place->Notifier_, nullptr))
       Notifier->disconnected();
--- a/src/Transport/HttpServerConnection.h
+++ b/src/Transport/HttpServerConnection.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "Transport/HttpServer.h"
+#include "Transport/ProgressMonitor.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
@@ -51,6 +53,10 @@
   /// Whether the connection closes after the response.
   bool Close_ = false;
   bool HeadMethod_ = false;
+  /// Bytes of the request's body until there is a response.
+  std::size_t RequestBytes_ = 0;
+  /// Bytes of the response's body until it has been sent.
+  std::size_t ResponseBytes_ = 0;
 };
 
 /// Passes the response of one request to its connection. Only the handler owns
@@ -95,6 +101,18 @@
   HttpServerConnection(const HttpServerConnection &) = delete;
   HttpServerConnection &operator=(const HttpServerConnection &) = delete;
 
+  /// Opens the account of this connection, before it starts. Returns false if
+  /// there is no memory for it.
+  bool openMemory();
+
+  /// What the connection does. Thread-safe.
+  UnusedConnection unused() const {
+    return {UnusedState_, TimePoint(Duration(UnusedSince_))};
+  }
+
+  /// Closes the connection if it still has no request. Thread-safe.
+  void closeUnused();
+
   /// Starts reading. Thread-safe.
   void start();
 
@@ -154,7 +172,21 @@
   void passOn();
   void refuse(ErrorCode Code);
   void writeNext();
+  void writeSome();
   void onWritten(boost::system::error_code Error);
+  /// Reports to the account what the connection holds; Added bytes for the body
+  /// that is arriving are about to be reserved. Returns false if the connection
+  /// has to give way.
+  bool updateMemory(std::size_t Added = 0);
+  std::size_t bodyCapacity();
+  /// Reserves memory for the part of the body that has arrived, in steps that
+  /// the account knows of. Returns false if there is none.
+  bool reserveBody();
+  /// Refuses the request whose body arrives, or disconnects the client that
+  /// does not read its answer.
+  void giveWay();
+  void checkRates(TimePoint Now);
+  void countShed(std::string_view Reason);
   void beginPhase(Phase Next, std::optional<Duration> Limit);
   /// Adds this connection to the count of busy ones or removes it.
   void updateBusy();
@@ -175,6 +207,19 @@
   /// first one is being sent if Writing_ is set.
   std::deque<std::shared_ptr<PendingResponse>> Pending_;
   std::optional<Message> Message_;
+  std::optional<
+      boost::beast::http::response_serializer<boost::beast::http::string_body>>
+      Serializer_;
+  std::optional<MemoryAccount::Id> Account_;
+  /// Bytes held beyond ConnectionMemory, as last reported.
+  std::size_t ReportedBytes_ = 0;
+  /// Progress of the body that arrives, and of the answer that is sent.
+  SheddableMemory BodyProgress_;
+  SheddableMemory AnswerProgress_;
+  ProgressMonitor BodyRate_;
+  ProgressMonitor AnswerRate_;
+  std::uint64_t BodyLimit_ = 0;
+  bool HadRequest_ = false;
   std::string Continue_;
   Phase Phase_ = Phase::Head;
   bool Reading_ = false;
@@ -193,6 +238,9 @@
   TimePoint WriteDeadline_ = TimePoint::max();
   // Read from another thread by the timeout check of the server.
   std::atomic<TimePoint::rep> Deadline_;
+  // Read from another thread when a connection is to be closed.
+  std::atomic<UnusedState> UnusedState_ = UnusedState::Silent;
+  std::atomic<TimePoint::rep> UnusedSince_;
 };
 
 } // namespace marigold::transport
