Expected wait of a target from the remaining work of its runs

The target's node reads the slowdown that a target reports with its answers, forecasts waits from the remaining work of each run at that speed, and can decline a request whose expected wait is beyond its bound.

--- a/src/Admission/AdmissionControl.cpp
+++ b/src/Admission/AdmissionControl.cpp
@@ -14,6 +14,9 @@
 /// estimated wait.
 constexpr std::uint32_t ShortQueueDivisor = 4;
 
+/// Upper bound of the expected wait in a load report.
+constexpr Duration MaxReportedWait = std::chrono::minutes(1);
+
 std::size_t indexOf(Priority Value) { return static_cast<std::size_t>(Value); }
 
 } // namespace
@@ -41,6 +44,9 @@
     return {Admission::Run, {}, std::nullopt};
   }
   Forecast Expected = forecast(Ticket, Now);
+  if (Ticket.MaxWait_ > Duration::zero() &&
+      Expected.Start_ > Now + Ticket.MaxWait_ + Ticket.Transfer_)
+    return {Admission::Refuse, ErrorCode::TargetBusy, std::nullopt};
   if (waitIsTooLong(Ticket, Expected, Now))
     return {Admission::Refuse, lateReason(Now), std::nullopt};
   Submission Result{Admission::Queue, {}, std::nullopt};
@@ -68,13 +74,14 @@
                                           TimePoint Now) {
   AdmissionActions Actions;
   std::uint32_t Before = running();
-  auto Run = Running_.extract(Id);
-  if (!Run)
+  auto Ended = Running_.extract(Id);
+  if (!Ended)
     return Actions;
   if (Sample.Measured_ && Sample.Latency_ >= Duration::zero()) {
     if (Settings_.Adaptive_)
       Limit_.onSample(Sample.Latency_, Sample.Overloaded_, Before, Now);
-    RunTimes_.addSample(Run.mapped(), Sample.Latency_);
+    RunTimes_.addSample(Ended.mapped().Kind_, Sample.Latency_);
+    Work_.onSample(Now);
   }
   startQueued(Actions, Now);
   return Actions;
@@ -138,6 +145,7 @@
   TargetDown_ = false;
   Limit_.reset();
   RunTimes_.reset();
+  Work_.reset();
 }
 
 AdmissionActions AdmissionControl::configure(std::uint32_t Slots,
@@ -187,15 +195,40 @@
 LoadReport AdmissionControl::load(TimePoint Now) const {
   LoadReport Report{running(), QueuedCount_, limit()};
   Report.StartRate_ = ColdStarts_.rate(Now);
+  if (!forecastsWork())
+    return Report;
+  std::vector<Duration> Before;
+  for (const WaitingQueue &Waiters : Queues_)
+    for (const Waiting &Entry : Waiters)
+      Before.push_back(RunTimes_.mean(Entry.Kind_));
+  Duration Wait = std::max(remainingWait(Before, Now),
+                           ColdStarts_.nextStart(QueuedCount_, Now) - Now);
+  Report.ExpectedWait_ = std::chrono::ceil<std::chrono::microseconds>(
+      std::clamp(Wait, Duration::zero(), MaxReportedWait));
+  Report.Slowdown_ = Work_.slowdown(Now);
   return Report;
 }
 
 void AdmissionControl::start(std::uint64_t Id, std::uint32_t Kind,
                              TimePoint Now) {
-  Running_.emplace(Id, Kind);
+  Running_.emplace(Id, Run{Kind, Now});
   ColdStarts_.onStart(Now);
 }
 
+bool AdmissionControl::forecastsWork() const {
+  return Settings_.Forecast_ == ForecastUse::Always ||
+         (Settings_.Forecast_ == ForecastUse::Reported && Work_.isReported());
+}
+
+Duration AdmissionControl::remainingWait(std::span<const Duration> Before,
+                                         TimePoint Now) const {
+  std::vector<RunningWork> Runs;
+  Runs.reserve(Running_.size());
+  for (const auto &[Id, Held] : Running_)
+    Runs.push_back({RunTimes_.mean(Held.Kind_), Held.Start_});
+  return Work_.wait(Runs, Before, limit(), Now);
+}
+
 /// Whether the answer would come too late even if a slot were free at once.
 bool AdmissionControl::transferIsTooLong(const CallTicket &Ticket,
                                          TimePoint Now) const {
@@ -214,22 +247,29 @@
   Forecast Result;
   // The next slot becomes free after the mean run time divided by the limit.
   Duration Work = RunTimes_.mean();
+  std::vector<Duration> Before;
   auto Count = [&](const Waiting &Entry) {
     ++Result.Before_;
-    Work += RunTimes_.mean(Entry.Kind_);
+    Before.push_back(RunTimes_.mean(Entry.Kind_));
+    Work += Before.back();
   };
   for (std::size_t Index = Own + 1; Index < PriorityCount; ++Index)
     std::ranges::for_each(Queues_[Index], Count);
   for (const Waiting &Entry : Queues_[Own])
     if (!Entry.Late_ && Entry.Objective_ <= Ticket.Objective_)
       Count(Entry);
-  Result.Start_ = std::max(Now + Work / limit(),
-                           ColdStarts_.nextStart(Result.Before_ - 1, Now)) +
-                  Ticket.Transfer_;
+  Duration Wait = Work / limit();
+  Duration OwnRun = RunTimes_.mean(Ticket.Kind_);
+  if (forecastsWork()) {
+    Wait = remainingWait(Before, Now);
+    OwnRun = Work_.scaled(OwnRun, Now);
+  }
+  Result.Start_ =
+      std::max(Now + Wait, ColdStarts_.nextStart(Result.Before_ - 1, Now)) +
+      Ticket.Transfer_;
   Result.Late_ =
       Ticket.Objective_ != TimePoint::max() &&
-      Result.Start_ + RunTimes_.mean(Ticket.Kind_) * ExpectedRunPercent / 100 >
-          Ticket.Objective_;
+      Result.Start_ + OwnRun * ExpectedRunPercent / 100 > Ticket.Objective_;
   return Result;
 }
 
--- a/src/Admission/AdmissionControl.h
+++ b/src/Admission/AdmissionControl.h
@@ -3,6 +3,7 @@
 #include "Admission/AdaptiveLimit.h"
 #include "Admission/ColdStartLimiter.h"
 #include "Admission/RunTimes.h"
+#include "Admission/WorkForecast.h"
 #include "Schema/generated/Errors.h"
 #include "Schema/generated/Messages.h"
 #include "Support/Clock.h"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -31,6 +33,9 @@
   Duration Transfer_{};
   /// Kind of request, used to estimate how long its run takes.
   std::uint32_t Kind_ = 0;
+  /// Longest expected wait at which the request is not declined with
+  /// TargetBusy; zero for no limit (CallStart::MaxWait_).
+  Duration MaxWait_{};
 };
 
 /// Queued request that is refused without having run.
@@ -58,9 +63,9 @@
 struct Submission {
   Admission Admission_ = Admission::Refuse;
   /// Set for Refuse: QueueFull, Shed, Draining, TargetDown, DeadlineBeforeRun,
-  /// HopelessWait or TargetCold. The last two mean that the answer would come
-  /// after the objective or the deadline; the caller's node may try another
-  /// host.
+  /// HopelessWait, TargetCold or TargetBusy. HopelessWait and TargetCold mean
+  /// that the answer would come after the objective or the deadline; the
+  /// caller's node may try another host.
   ErrorCode Reason_ = ErrorCode::QueueFull;
   /// Queued request that this one displaced; the node has to refuse it.
   std::optional<RefusedTicket> Displaced_;
@@ -77,6 +82,10 @@
   bool Overloaded_ = false;
 };
 
+/// When expected waits follow from the remaining work of each run (setting
+/// placement): if the target reports its slowdown, always, or never.
+enum class ForecastUse : std::uint8_t { Reported, Always, Off };
+
 /// Parameters of AdmissionControl.
 struct AdmissionSettings {
   /// Maximum number of requests that the target runs concurrently
@@ -87,6 +96,8 @@
   /// Whether the concurrency limit adapts to latency (setting
   /// adaptive-limit).
   bool Adaptive_ = true;
+  /// Whether expected waits follow from the remaining work of each run.
+  ForecastUse Forecast_ = ForecastUse::Reported;
   AdaptiveLimitSettings AdaptiveSettings_ = {};
 };
 
@@ -117,6 +128,8 @@
 ///   free, because its answer would only delay the others.
 /// - Cold target: a request waits for its next start like for a slot, and is
 ///   refused if that is too late (ColdStartLimiter).
+/// - Kinds of very different cost on a host of changing speed: the expected
+///   wait follows from the remaining work of each run (WorkForecast).
 /// - Slow target: if runs alone exceed the objective, the target keeps only a
 ///   short queue, so that callers' nodes prefer other targets.
 class AdmissionControl {
@@ -158,6 +171,12 @@
   /// limit and the run times, because the target may be a new process.
   void targetUp();
 
+  /// Records the slowdown that the target reported, in percent of the usual
+  /// run time; zero is ignored.
+  void onSlowdown(std::uint32_t Percent, TimePoint Now) {
+    Work_.onSlowdown(Percent, Now);
+  }
+
   /// Applies changed configuration values. Requests that no longer fit into
   /// the queue are refused with Shed; running ones are not affected.
   AdmissionActions configure(std::uint32_t Slots, std::uint32_t Queue,
@@ -220,6 +239,15 @@
   /// that were expected to be late when they were queued come last.
   using WaitingQueue = std::deque<Waiting>;
 
+  struct Run {
+    std::uint32_t Kind_;
+    TimePoint Start_;
+  };
+
+  bool forecastsWork() const;
+  /// Expected wait of a request that runs after those with the given run
+  /// times, from the remaining work of each run.
+  Duration remainingWait(std::span<const Duration> Before, TimePoint Now) const;
   bool transferIsTooLong(const CallTicket &Ticket, TimePoint Now) const;
   Forecast forecast(const CallTicket &Ticket, TimePoint Now) const;
   bool waitIsTooLong(const CallTicket &Ticket, const Forecast &Expected,
@@ -238,9 +266,10 @@
   AdaptiveLimit Limit_;
   std::array<WaitingQueue, PriorityCount> Queues_;
   std::uint32_t QueuedCount_ = 0;
-  /// Kind of each request that holds a slot, by id.
-  std::unordered_map<std::uint64_t, std::uint32_t> Running_;
+  /// Requests that hold a slot, by id.
+  std::unordered_map<std::uint64_t, Run> Running_;
   RunTimes RunTimes_;
+  WorkForecast Work_;
   ColdStartLimiter ColdStarts_;
   bool Draining_ = false;
   bool Leaving_ = false;
--- a/src/Node/TargetCold.cpp
+++ b/src/Node/TargetCold.cpp
@@ -90,6 +90,8 @@
                           !transport::findHeader(Value.Response_->Headers_,
                                                  Names.AnsweringInstance_)
                                .empty());
+  if (Answered)
+    readTargetLoad(*Value.Response_, Now);
   Duration ColdLeft{};
   if (Answered && !Names.ColdLeft_.empty())
     if (auto Given = parseNumber(
--- a/src/Node/TargetProxy.cpp
+++ b/src/Node/TargetProxy.cpp
@@ -14,6 +14,10 @@
 
 admission::AdmissionSettings admissionSettings(const NodeSettings &Settings) {
   admission::AdmissionSettings Values;
+  if (Settings.Placement_ == "always")
+    Values.Forecast_ = admission::ForecastUse::Always;
+  else if (Settings.Placement_ == "off")
+    Values.Forecast_ = admission::ForecastUse::Off;
   Values.Adaptive_ = Settings.AdaptiveLimit_;
   return Values;
 }
@@ -245,6 +249,7 @@
     admission::CallTicket Ticket{Run->Id_, Run->Start_.Priority_,
                                  Run->Deadline_.at()};
     Ticket.Kind_ = Run->Start_.Kind_;
+    Ticket.MaxWait_ = Run->Start_.MaxWait_;
     if (Run->Start_.Routed_)
       Ticket.Objective_ = Now + Run->Start_.Objective_;
     if (UsesLink)
--- a/src/Node/TargetProxyImpl.h
+++ b/src/Node/TargetProxyImpl.h
@@ -203,6 +203,9 @@
   void checkHealth();
   void onHealthAnswer(const transport::HttpClientResult &Value,
                       TimePoint Asked);
+  /// Passes the slowdown that the target reports with an answer to admission
+  /// control.
+  void readTargetLoad(const transport::HttpResponse &Response, TimePoint Now);
   void runProbe();
   void armProbe();
   void onConnected();
--- a/src/Node/TargetRun.cpp
+++ b/src/Node/TargetRun.cpp
@@ -1,5 +1,6 @@
 #include "Node/TargetProxyImpl.h"
 
+#include "Admission/TargetLoadReport.h"
 #include "Support/Addresses.h"
 #include "Support/Log.h"
 
@@ -34,7 +35,7 @@
 bool isCapacityRefusal(ErrorCode Code) {
   return Code == ErrorCode::QueueFull || Code == ErrorCode::Shed ||
          Code == ErrorCode::HopelessWait || Code == ErrorCode::TargetCold ||
-         Code == ErrorCode::TargetRefused;
+         Code == ErrorCode::TargetBusy || Code == ErrorCode::TargetRefused;
 }
 
 void addField(std::vector<Header> &Headers, const std::string &Name,
@@ -208,6 +209,9 @@
        {"running", std::to_string(Load.Running_)},
        {"queued", std::to_string(Load.Queued_)},
        {"limit", std::to_string(Load.Limit_)},
+       {"expected_wait_ms",
+        std::to_string(wholeMilliseconds(Load.ExpectedWait_).count())},
+       {"slowdown", std::to_string(Load.Slowdown_)},
        {"wait_ms", std::to_string(wholeMilliseconds(Wait).count())},
        {"latency_ms", std::to_string(wholeMilliseconds(Latency).count())},
        {"remaining_ms",
@@ -247,6 +251,7 @@
                            {Status, Response.Headers_, Response.Body_},
                            std::chrono::steady_clock::now());
   }
+  readTargetLoad(Response, std::chrono::steady_clock::now());
   bool Shed = Status == 503 || Status == 429;
   LoadReport Load = endRun(Run, {Latency, true, Shed}, Response.Body_.size());
   logRun(*Run, Status >= 500 ? "failed" : "answered", std::to_string(Status),
@@ -255,6 +260,26 @@
             std::move(Response.Body_), Load, Latency);
 }
 
+void TargetProxy::Impl::readTargetLoad(const transport::HttpResponse &Response,
+                                       TimePoint Now) {
+  const std::string &Name = Parts_.HeaderNames_.TargetLoad_;
+  if (Name.empty())
+    return;
+  auto Report = admission::parseTargetLoad(
+      transport::findHeader(Response.Headers_, Name));
+  if (!Report || Report->Slowdown_ == 0)
+    return;
+  LoadReport Load;
+  {
+    std::lock_guard Lock(Admission_.Mutex_);
+    Admission_.Control_.onSlowdown(Report->Slowdown_, Now);
+    Load = Admission_.Control_.load(Now);
+  }
+  Parts_.Metrics_.set(Metric::TargetSlowdownPercent, Report->Slowdown_);
+  Parts_.Metrics_.set(Metric::ExpectedWaitMs,
+                      wholeMilliseconds(Duration(Load.ExpectedWait_)).count());
+}
+
 void TargetProxy::Impl::onFailure(const TargetRunPtr &Run,
                                   const HttpClientFailure &Failed,
                                   Duration Latency) {
