--- a/src/Node/CallerPools.h
+++ b/src/Node/CallerPools.h
@@ -63,9 +63,9 @@
   jitterRetryAfter(std::chrono::milliseconds Expected);
 
   /// Decides on a retry and takes a token for it: from the retry budget if a
-  /// target was reached, otherwise from the redirect budget. A declined offer is
-  /// repeated without a token too: the budget was not exhausted when the offer
-  /// was made, and the request must not fail because of it.
+  /// target was reached, otherwise from the redirect budget. A declined offer
+  /// is repeated without a token too: the budget was not exhausted when the
+  /// offer was made, and the request must not fail because of it.
   calls::RetryDecision retry(const calls::AttemptState &State,
                              const calls::Deadline &Limit, TimePoint Now);
 
