--- a/src/Node/TargetCold.cpp
+++ b/src/Node/TargetCold.cpp
@@ -125,6 +125,8 @@
   std::optional<Duration> ColdLeft;
   if (Value.Response_)
     ColdLeft = readColdLeft(*Value.Response_, Parts_.HeaderNames_);
+  if (ColdLeft)
+    readTargetLoad(*Value.Response_, Now);
   Parts_.Metrics_.add(Metric::HealthChecksTotal, 1,
                       ColdLeft ? "answered" : "failed");
   admission::AdmissionActions Actions;
