--- a/unittests/Config/TextParserTest.cpp
+++ b/unittests/Config/TextParserTest.cpp
@@ -398,7 +398,7 @@
   const BadText Rows[] = {
       {"    cold_time: 601s\n", ErrorCode::OutOfRange, 5},
       {"    cold_time: 4m3s\n", ErrorCode::WrongUnit, 5},
-      {"    cold_time: -1s\n", ErrorCode::WrongUnit, 5},
+      {"    cold_time: -1s\n", ErrorCode::WrongType, 5},
       {"    cold_rate: 1000001\n", ErrorCode::OutOfRange, 5},
       {"    cold_rate: many\n", ErrorCode::WrongType, 5},
       {"    health_path: health\n", ErrorCode::BadName, 5},
