--- a/src/Transport/ProgressMonitor.h
+++ b/src/Transport/ProgressMonitor.h
@@ -6,13 +6,13 @@
 
 namespace marigold::transport {
 
-/// Whether a transfer keeps a minimum rate, on average over windows of Window.
+/// Whether a transfer keeps a minimum rate, on average over windows of Window_.
 ///
 /// Answers this load: clients that send a body, or read an answer, a few bytes
 /// at a time, and so hold memory and connections for as long as they like.
 class ProgressMonitor {
 public:
-  static constexpr std::chrono::seconds Window{5};
+  static constexpr std::chrono::seconds Window_{5};
 
   /// Begins a transfer.
   void begin(TimePoint Now) {
@@ -23,7 +23,7 @@
   /// Whether a whole window has passed with less than Rate bytes per second.
   /// Moved is the number of bytes since begin. A rate of zero is never missed.
   bool isTooSlow(TimePoint Now, std::uint64_t Moved, std::uint64_t Rate) {
-    if (Now - WindowStart_ < Window)
+    if (Now - WindowStart_ < Window_)
       return false;
     double Seconds = std::chrono::duration<double>(Now - WindowStart_).count();
     bool TooSlow = static_cast<double>(Moved - MovedBefore_) <
--- a/unittests/Admission/ColdStartTest.cpp
+++ b/unittests/Admission/ColdStartTest.cpp
@@ -50,7 +50,7 @@
     std::erase_if(Arrivals_,
                   [&](TimePoint At) { return At <= Now - seconds(1); });
     Arrivals_.push_back(Now);
-    if (Now < ColdUntil_ && Arrivals_.size() > 2 * Limits.Rate_) {
+    if (Now < ColdUntil_ && Arrivals_.size() > std::size_t{2} * Limits.Rate_) {
       ++Crashes_;
       Arrivals_.clear();
       ColdUntil_ = Now + seconds(3);
@@ -161,7 +161,7 @@
     CHECK(std::ranges::count_if(Starts, [&](TimePoint Start) {
             return Start >= First && Start < First + seconds(1);
           }) <= Allowed);
-  CHECK(Starts.size() >= 2 * Allowed);
+  CHECK(Starts.size() >= std::size_t{2} * Allowed);
 }
 
 TEST_CASE_FIXTURE(ColdTargetFixture,
@@ -175,7 +175,7 @@
 TEST_CASE_FIXTURE(ColdTargetFixture,
                   "no request is expected to wait beyond the limit") {
   startAll();
-  CHECK(Limiter_.nextStart(100 * Allowed, Now_) ==
+  CHECK(Limiter_.nextStart(std::size_t{100} * Allowed, Now_) ==
         Now_ + seconds(3) +
             ColdStartLimiter::Steps_ * ColdStartLimiter::StepTime_);
 }
--- a/unittests/Transport/HttpServerLimitsTest.cpp
+++ b/unittests/Transport/HttpServerLimitsTest.cpp
@@ -99,7 +99,8 @@
   Monitor.begin(Start);
   using std::chrono::seconds;
   CHECK_FALSE(Monitor.isTooSlow(Start + seconds(4), 0, 256));
-  CHECK_FALSE(Monitor.isTooSlow(Start + seconds(5), 5 * 256, 256));
+  CHECK_FALSE(
+      Monitor.isTooSlow(Start + seconds(5), std::uint64_t{5} * 256, 256));
   // What moved in earlier windows does not count.
   CHECK(Monitor.isTooSlow(Start + seconds(10), 10 * 256 - 1, 256));
   CHECK_FALSE(Monitor.isTooSlow(Start + seconds(15), 10 * 256 - 1, 0));
