Setting placement can be turned off by name

Cause: YAML reads the bare word off as a flag, so that the generated choices of placement and overload-admission were reported, always and False. Ruled out: a change of the generator, which would hide the same slip in other schemas.

--- a/unittests/Support/SettingsParserTest.cpp
+++ b/unittests/Support/SettingsParserTest.cpp
@@ -102,4 +102,14 @@
   CHECK_FALSE(parseDuration("1.5.5s"));
 }
 
+// Guards against a schema in which YAML reads the choice "off" as a flag: the
+// generated name was "False", and operators could not turn the part off.
+TEST_CASE_FIXTURE(SettingsFixture, "settings accept the choice off by name") {
+  for (const char *Argument : {"--placement=off", "--overload-admission=off"}) {
+    CAPTURE(Argument);
+    CHECK(parse({Argument}));
+  }
+  CHECK(parse({"--placement=off"}).value().Settings_.Placement_ == "off");
+}
+
 } // namespace marigold
