Tests of cold targets stop their targets before the threads

Cause: a request in progress and its connection refer to each other; when the fixture stopped the threads during a health check, LeakSanitizer reported both (once, beside load). Ruled out: a leak while the node runs, where the check ends by its deadline.

--- a/unittests/Node/ColdCallTest.cpp
+++ b/unittests/Node/ColdCallTest.cpp
@@ -35,6 +35,11 @@
   // Stops the threads here, because the members below are destroyed before the
   // destructor of the base class would stop them.
   ~ColdCallFixture() {
+    // A health check in progress ends on a thread: its connection and its
+    // request refer to each other until then.
+    for (const auto &Node : Nodes_)
+      Node->Target_->stop();
+    std::this_thread::sleep_for(milliseconds(50));
     Threads_.stop();
     Nodes_.clear();
     Targets_.clear();
