Report the source's era and whether a target list was taken

The nodes' logs showed that the store was read and not what became of it: targets_read had neither a revision nor a result, and the store's era was read nowhere, so that a store that returns from an older copy looked like one whose watches are lost.

Gauge config_source_era, counter target_lists_total. What a node decides is unchanged.

--- a/src/Node/ConfigSource.h
+++ b/src/Node/ConfigSource.h
@@ -53,6 +53,10 @@
   /// the implementation does not track it.
   virtual std::optional<TimePoint> contactAt() const { return std::nullopt; }
 
+  /// Number of times that the source has returned from an older copy, as far as
+  /// its responses tell; 0 if they do not.
+  virtual std::uint32_t era() const { return 0; }
+
   /// Makes the next call to the source continue from a state that was obtained
   /// from peers.
   virtual void resumeFrom(const KnownSourceState &) {}
--- a/src/Node/ControlEffects.h
+++ b/src/Node/ControlEffects.h
@@ -64,6 +64,17 @@
   std::chrono::milliseconds ConfirmationAge_{};
 };
 
+/// Read of the target list from the source, for log and metrics.
+struct TargetListEvent {
+  std::size_t Targets_ = 0;
+  std::size_t Unusable_ = 0;
+  /// Revision of the list, and the one that this node had.
+  std::uint64_t Revision_ = 0;
+  std::uint64_t Held_ = 0;
+  /// Whether the list was taken. One of an earlier revision is not.
+  bool Taken_ = false;
+};
+
 /// Begin or end of the evacuation of a failure domain, for log and metrics.
 struct EvacuationEvent {
   std::string FailureDomain_;
@@ -100,6 +111,7 @@
   /// Whether a later revision of the target list was merged from a peer. The
   /// next read of the source must continue from that revision.
   bool TargetsMerged_ = false;
+  std::optional<TargetListEvent> TargetList_;
   std::vector<EvacuationEvent> Evacuations_;
   /// Lengths of the pauses of the process that were detected.
   std::vector<Duration> Pauses_;
--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -224,6 +224,16 @@
               {"confirmation_age_ms",
                std::to_string(Event->ConfirmationAge_.count())}});
   }
+  if (const auto &Event = Effects.TargetList_) {
+    Parts_.Metrics_.add(Metric::TargetListsTotal, 1,
+                        Event->Taken_ ? "taken" : "ignored");
+    logEvent(Event->Taken_ ? LogLevel::Info : LogLevel::Warning, "targets_read",
+             {{"targets", std::to_string(Event->Targets_)},
+              {"unusable", std::to_string(Event->Unusable_)},
+              {"revision", std::to_string(Event->Revision_)},
+              {"held", std::to_string(Event->Held_)},
+              {"taken", Event->Taken_ ? "true" : "false"}});
+  }
   for (const EvacuationEvent &Event : Effects.Evacuations_) {
     if (Event.Begins_)
       Parts_.Metrics_.add(Metric::EvacuationsTotal);
@@ -336,10 +346,6 @@
       return;
     }
     sourceAnswered(distribution::SourceCall::Hosts);
-    if (List.value().Targets_)
-      logEvent(LogLevel::Info, "targets_read",
-               {{"targets", std::to_string(List.value().Targets_->size())},
-                {"unusable", std::to_string(List.value().Unusable_)}});
     Parts_.Metrics_.add(Metric::ListedTargetsInvalidTotal,
                         static_cast<std::int64_t>(List.value().Unusable_));
     decide([&](ControlCore &Core, TimePoint Now, ControlEffects &Out) {
@@ -411,6 +417,7 @@
   Parts_.Metrics_.set(Metric::ConfigRevision,
                       static_cast<std::int64_t>(Version.Revision_));
   Parts_.Metrics_.set(Metric::ConfigSourceAgeSeconds, Age.count() / 1000);
+  Parts_.Metrics_.set(Metric::ConfigSourceEra, Source_->era());
   for (std::uint8_t State = 0; State < HostStateCount; ++State)
     Parts_.Metrics_.set(Metric::Hosts, static_cast<std::int64_t>(Counts[State]),
                         toText(static_cast<HostState>(State)));
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -41,6 +41,8 @@
     if (List.Revision_ >= Directory_.revision())
       ListConfigRevision_ = List.ConfigRevision_;
     bool Current = List.Revision_ >= Directory_.revision();
+    Out.TargetList_ = {List.Targets_->size(), List.Unusable_, List.Revision_,
+                       Directory_.revision(), Current};
     Directory_.apply(*List.Targets_, Now, List.Revision_, List.ContentRevision_,
                      List.Removed_);
     // Evacuations are ordered like the list: an earlier state never replaces a
