Follow a store that returns from an older copy

Cause: a store may return from a copy some seconds old and give out its revisions again. Nodes took versions and lists of targets only with a higher revision than theirs, so that nothing had an effect until the store had passed the revision of before, and nothing said so.

Class: an order that starts again needs its era in the key, or has to come from the one who orders. Configuration versions are ordered by the operators' number now, lists of targets by era and revision. A rise of the era in any response starts a full read; responses of an earlier era fail; peers learn the era from each other's revisions. What the copy says of targets that are known to be leaving, gone or started again has no effect for a grace period, and targets and evacuations that it lacks are kept.

--- a/src/Membership/TargetDirectory.cpp
+++ b/src/Membership/TargetDirectory.cpp
@@ -1,5 +1,7 @@
 #include "Membership/TargetDirectory.h"
 
+#include "Support/SourceRevision.h"
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -23,6 +25,45 @@
   Missing_ = Missing;
 }
 
+bool TargetDirectory::isOutdatedCopy(const ListedTarget &Target) const {
+  if (auto Position = Entries_.find(Target.Instance_);
+      Position != Entries_.end()) {
+    const ListedTarget &Held = Position->second.Target_;
+    return isOlder(Target, Held) &&
+           (Held.Leaving_ || Held.StartedAt_ != Target.StartedAt_);
+  }
+  if (Target.Leaving_)
+    return false;
+  auto Removed = std::find_if(
+      Removals_.rbegin(), Removals_.rend(),
+      [&](const Removal &Each) { return Each.Instance_ == Target.Instance_; });
+  return Removed != Removals_.rend() &&
+         (!Removed->Last_ || Removed->Last_->StartedAt_ >= Target.StartedAt_);
+}
+
+bool TargetDirectory::isStillWithheld(const ListedTarget &Target) {
+  auto Position = Withheld_.find(Target.Instance_);
+  if (Position == Withheld_.end())
+    return false;
+  if (Position->second == Target)
+    return true;
+  Withheld_.erase(Position);
+  return false;
+}
+
+void TargetDirectory::reportAll(const std::vector<ListedTarget> &Listed,
+                                bool Ordered, bool EraBegan) {
+  for (const ListedTarget &Target : Listed) {
+    if (EraBegan && isOutdatedCopy(Target))
+      Withheld_.insert_or_assign(Target.Instance_, Target);
+    if (!isStillWithheld(Target))
+      report(Target, Ordered);
+    else if (auto Held = Entries_.find(Target.Instance_);
+             Held != Entries_.end())
+      Held->second.change(Held->second.Target_, false, ContentRevision_);
+  }
+}
+
 void TargetDirectory::report(const ListedTarget &Target, bool Ordered) {
   auto [Position, Inserted] = Entries_.try_emplace(
       Target.Instance_, Entry{Target, false, ContentRevision_});
@@ -33,13 +74,22 @@
   Held.change(Outdated ? Held.Target_ : Target, false, ContentRevision_);
 }
 
-void TargetDirectory::advanceTo(std::uint64_t Revision,
-                                std::uint64_t ContentRevision) {
+bool TargetDirectory::advanceTo(std::uint64_t Revision,
+                                std::uint64_t ContentRevision, TimePoint Now) {
+  bool EraBegins = Revision_ != 0 && eraOf(Revision) > eraOf(Revision_);
   Revision_ = Revision;
   ContentRevision_ = std::max({ContentRevision_, Revision, ContentRevision});
-  // Removals before the first list are not known.
-  if (!std::exchange(Known_, true))
+  // Removals before the first list, and those that the copy of an era lacks,
+  // are not known.
+  if (!std::exchange(Known_, true) || EraBegins)
     ForgottenUpTo_ = ContentRevision_;
+  if (!EraBegins)
+    return false;
+  onOutageEnded(Now);
+  WithholdUntil_ = Now + CopyGrace_;
+  Withheld_.clear();
+  KeptEvacuated_ = Evacuated_;
+  return true;
 }
 
 void TargetDirectory::apply(
@@ -49,16 +99,10 @@
   if (Revision < Revision_)
     return;
   bool Ordered = Revision != 0 && Revision >= ContentRevision_;
-  advanceTo(Revision, ContentRevision);
+  bool EraBegan = advanceTo(Revision, ContentRevision, Now);
   bool KeepMissing = KeepMissingUntil_ && Now < *KeepMissingUntil_;
-  std::set<std::string, std::less<>> ListedInstances;
-  for (const ListedTarget &Target : Listed) {
-    ListedInstances.insert(Target.Instance_);
-    report(Target, Ordered);
-  }
-  for (auto &[Instance, Held] : Entries_)
-    if (!ListedInstances.contains(Instance))
-      Held.change(Held.Target_, true, ContentRevision_);
+  reportAll(Listed, Ordered, EraBegan);
+  markMissing(Listed);
   // A leaving target that is no longer listed has left, so it gets no grace
   // period.
   removeIf([&](const Entry &Held) {
@@ -71,6 +115,18 @@
   rebuildIndex();
 }
 
+void TargetDirectory::markMissing(const std::vector<ListedTarget> &Listed) {
+  std::set<std::string_view> Instances;
+  for (const ListedTarget &Target : Listed)
+    Instances.insert(Target.Instance_);
+  for (auto &[Instance, Held] : Entries_)
+    if (!Instances.contains(Instance))
+      Held.change(Held.Target_, true, ContentRevision_);
+  std::erase_if(Withheld_, [&](const auto &Pair) {
+    return !Instances.contains(Pair.first);
+  });
+}
+
 TargetChanges TargetDirectory::changesSince(std::uint64_t Revision) const {
   TargetChanges Changes;
   if (Revision >= Revision_)
@@ -84,31 +140,36 @@
     Changes.Changed_.push_back(Held.Target_);
   }
   if (Changes.Base_ != 0)
-    for (const auto &[Instance, RemovedAt] : Removals_)
-      if (RemovedAt > Changes.Base_ && !Entries_.contains(Instance))
-        Changes.Removed_.push_back(Instance);
+    for (const Removal &Each : Removals_)
+      if (Each.Revision_ > Changes.Base_ && !Entries_.contains(Each.Instance_))
+        Changes.Removed_.push_back(Each.Instance_);
   return Changes;
 }
 
-bool TargetDirectory::merge(const TargetChanges &Changes) {
+bool TargetDirectory::merge(const TargetChanges &Changes, TimePoint Now) {
   bool Whole = Changes.Base_ == 0;
-  if (Changes.Revision_ <= Revision_ || (!Whole && Changes.Base_ > Revision_))
+  if (Changes.Revision_ <= Revision_ ||
+      (!Whole && (Changes.Base_ > Revision_ ||
+                  eraOf(Changes.Base_) != eraOf(Changes.Revision_))))
     return false;
   bool Ordered = Changes.Revision_ >= ContentRevision_;
-  advanceTo(Changes.Revision_, Changes.Revision_);
-  Evacuated_ = Changes.Evacuated_;
-  std::set<std::string_view> ListedInstances;
-  for (const ListedTarget &Target : Changes.Changed_) {
-    ListedInstances.insert(Target.Instance_);
-    report(Target, Ordered);
-  }
+  bool EraBegan = advanceTo(Changes.Revision_, Changes.Revision_, Now);
+  setEvacuated(Changes.Evacuated_);
+  reportAll(Changes.Changed_, Ordered, EraBegan);
   std::set<std::string_view> Removed(Changes.Removed_.begin(),
                                      Changes.Removed_.end());
+  if (Whole)
+    markMissing(Changes.Changed_);
+  // A peer that has started since the era began does not know which targets
+  // the copy lacks.
+  bool KeepMissing =
+      WithholdUntil_ && KeepMissingUntil_ && Now < *KeepMissingUntil_;
   removeIf([&](const Entry &Held) {
-    const std::string &Instance = Held.Target_.Instance_;
-    return Removed.contains(Instance) ||
-           (Whole && !ListedInstances.contains(Instance));
+    return Removed.contains(Held.Target_.Instance_) ||
+           (Whole && Held.Missing_ && (!KeepMissing || Held.Target_.Leaving_));
   });
+  std::erase_if(Withheld_,
+                [&](const auto &Pair) { return Removed.contains(Pair.first); });
   if (Whole)
     ForgottenUpTo_ = ContentRevision_;
   else
@@ -117,16 +178,36 @@
   return true;
 }
 
-bool TargetDirectory::expire(TimePoint Now) {
-  if (!KeepMissingUntil_ || Now < *KeepMissingUntil_)
-    return false;
-  KeepMissingUntil_.reset();
-  bool Changed = removeIf([](const Entry &Held) { return Held.Missing_; });
+bool TargetDirectory::expire(TimePoint Now, bool Confirmed) {
+  bool Changed = false;
+  if (KeepMissingUntil_ && Now >= *KeepMissingUntil_) {
+    KeepMissingUntil_.reset();
+    Changed = removeIf([](const Entry &Held) { return Held.Missing_; });
+    for (const std::string &Domain : std::exchange(KeptEvacuated_, {}))
+      Changed = std::erase(Evacuated_, Domain) != 0 || Changed;
+  }
+  if (WithholdUntil_ && Now >= *WithholdUntil_ && Confirmed) {
+    WithholdUntil_.reset();
+    for (const auto &[Instance, Target] : std::exchange(Withheld_, {})) {
+      report(Target, true);
+      Changed = true;
+    }
+  }
   if (Changed)
     rebuildIndex();
   return Changed;
 }
 
+void TargetDirectory::setEvacuated(std::vector<std::string> Domains) {
+  std::erase_if(KeptEvacuated_, [&](const std::string &Domain) {
+    return std::ranges::binary_search(Domains, Domain);
+  });
+  Evacuated_ = std::move(Domains);
+  Evacuated_.insert(Evacuated_.end(), KeptEvacuated_.begin(),
+                    KeptEvacuated_.end());
+  std::ranges::sort(Evacuated_);
+}
+
 bool TargetDirectory::isEvacuated(std::string_view FailureDomain) const {
   return std::ranges::binary_search(Evacuated_, FailureDomain);
 }
@@ -142,8 +223,10 @@
 std::vector<ListedTarget> TargetDirectory::listedTargets() const {
   std::vector<ListedTarget> Targets;
   for (const auto &[Instance, Held] : Entries_)
-    if (!Held.Missing_)
+    if (!Held.Missing_ && !Withheld_.contains(Instance))
       Targets.push_back(Held.Target_);
+  for (const auto &[Instance, Target] : Withheld_)
+    Targets.push_back(Target);
   return Targets;
 }
 
@@ -154,7 +237,7 @@
   std::erase_if(Entries_, [&](const auto &Pair) {
     if (!Remove(Pair.second))
       return false;
-    Removals_.emplace_back(Pair.first, ContentRevision_);
+    Removals_.push_back({Pair.first, ContentRevision_, Pair.second.Target_});
     return true;
   });
   rememberRemoved({});
@@ -164,9 +247,14 @@
 void TargetDirectory::rememberRemoved(
     const std::vector<std::string> &Instances) {
   for (const std::string &Instance : Instances)
-    Removals_.emplace_back(Instance, ContentRevision_);
+    if (std::none_of(Removals_.rbegin(), Removals_.rend(),
+                     [&](const Removal &Each) {
+                       return Each.Instance_ == Instance &&
+                              Each.Revision_ == ContentRevision_;
+                     }))
+      Removals_.push_back({Instance, ContentRevision_, std::nullopt});
   for (; Removals_.size() > RemovalsKept_; Removals_.pop_front())
-    ForgottenUpTo_ = std::max(ForgottenUpTo_, Removals_.front().second);
+    ForgottenUpTo_ = std::max(ForgottenUpTo_, Removals_.front().Revision_);
 }
 
 const ListedTarget *TargetDirectory::find(const HostId &Node) const {
--- a/src/Membership/TargetDirectory.h
+++ b/src/Membership/TargetDirectory.h
@@ -26,6 +26,13 @@
 /// while it matches exactly one revision: a list that also contains some later
 /// changes would date them too early, and a peer that asks for what follows
 /// that revision would never receive them.
+///
+/// Revisions are ordered revisions (Support/SourceRevision.h). With the first
+/// list of a new era the source shows an older copy of what it held: what was
+/// written since is missing and will be written again. Until then a target that
+/// this node knows to be leaving or gone stays out of use, a target that is
+/// missing stays in use, and evacuations go on. Meanwhile the list is
+/// provisional and not passed on.
 class TargetDirectory {
 public:
   /// Time after the end of an outage for which missing entries are kept. Live
@@ -33,6 +40,11 @@
   static constexpr Duration MissingEntryGrace_ =
       std::chrono::milliseconds(2500);
 
+  /// Time after the beginning of an era for which the source may still show
+  /// targets as they were before they left. Longer than a target that is gone
+  /// can stay listed without a report.
+  static constexpr Duration CopyGrace_ = std::chrono::seconds(10);
+
   /// Number of removed instances that are remembered, so that a peer that lags
   /// behind receives changes instead of the whole list. More than change
   /// between two rounds of a source with a few thousand targets.
@@ -62,8 +74,9 @@
   TargetChanges changesSince(std::uint64_t Revision) const;
 
   /// Applies changes received from a peer. Returns false, without any effect,
-  /// if they do not lead to a later revision or start after the current one.
-  bool merge(const TargetChanges &Changes);
+  /// if they do not lead to a later revision, start after the current one, or
+  /// lead from one era to another.
+  bool merge(const TargetChanges &Changes, TimePoint Now);
 
   /// Reports that the platform answers again after an outage: entries that are
   /// missing from the list now may reappear soon.
@@ -71,34 +84,40 @@
     KeepMissingUntil_ = Now + MissingEntryGrace_;
   }
 
-  /// Returns whether entries are kept that are missing from the list. Such a
-  /// list is not sent to peers, because the grace period of one node must not
-  /// delay removals at others.
+  /// Returns whether entries are kept that are missing from the list.
   bool hasMissingEntries() const { return HasMissingEntries_; }
 
+  /// Returns whether this node departs from what the source lists, during a
+  /// grace period. Such a list is not sent to peers, because the grace period
+  /// of one node must not delay changes at others.
+  bool isProvisional() const {
+    return HasMissingEntries_ || !Withheld_.empty() || !KeptEvacuated_.empty();
+  }
+
   /// Returns whether the list may contain changes after revision().
   bool isAheadOfRevision() const { return ContentRevision_ > Revision_; }
 
   /// Replaces the evacuated failure domains, which must be sorted, as of the
   /// revision of the list. Call after apply.
-  void setEvacuated(std::vector<std::string> Domains) {
-    Evacuated_ = std::move(Domains);
-  }
+  void setEvacuated(std::vector<std::string> Domains);
 
   /// Evacuated failure domains, sorted. Their targets get no requests.
   const std::vector<std::string> &evacuated() const { return Evacuated_; }
 
   bool isEvacuated(std::string_view FailureDomain) const;
 
-  /// Removes missing entries whose grace period has ended. Returns whether
-  /// there were any.
-  bool expire(TimePoint Now);
+  /// Ends the grace periods that are over: entries that are still missing are
+  /// removed, and what else the source lists takes effect. The latter only if
+  /// Confirmed, which tells that the source has just confirmed the list: a node
+  /// that is cut off does not know what has been written since. Returns whether
+  /// anything changed.
+  bool expire(TimePoint Now, bool Confirmed);
 
   /// Returns whether a list was ever received.
   bool isKnown() const { return Known_; }
 
-  /// Revision of the source up to which the list includes every change; 0
-  /// without a list or without revisions.
+  /// Ordered revision of the source up to which the list includes every change;
+  /// 0 without a list or without revisions.
   std::uint64_t revision() const { return Revision_; }
 
   /// Returns all targets, including the entries that are missing from the list
@@ -131,21 +150,47 @@
     void change(ListedTarget Target, bool Missing, std::uint64_t Revision);
   };
 
-  /// Sets the report of an instance. Ordered tells that it is not earlier than
-  /// the current one.
+  /// An instance that was removed.
+  struct Removal {
+    std::string Instance_;
+    /// Revision at which this node learned of the removal.
+    std::uint64_t Revision_ = 0;
+    /// Last report; unset if this node never held the instance.
+    std::optional<ListedTarget> Last_;
+  };
+
+  /// Sets the reports of a list or of changes. Ordered tells that they are not
+  /// earlier than the current ones, EraBegan that the source lists them for the
+  /// first time in its era.
+  void reportAll(const std::vector<ListedTarget> &Listed, bool Ordered,
+                 bool EraBegan);
   void report(const ListedTarget &Target, bool Ordered);
 
-  /// Sets the revision of the list and of its newest possible content.
-  void advanceTo(std::uint64_t Revision, std::uint64_t ContentRevision);
+  /// Marks the entries that are not listed.
+  void markMissing(const std::vector<ListedTarget> &Listed);
+
+  /// Returns whether a report is the source's older copy of one of a target
+  /// that this node knows to be leaving or gone, or to have started again.
+  bool isOutdatedCopy(const ListedTarget &Target) const;
+
+  /// Returns whether a withheld report is unchanged; otherwise forgets it.
+  bool isStillWithheld(const ListedTarget &Target);
+
+  /// Sets the revision of the list and of its newest possible content. Returns
+  /// whether that begins a new era.
+  bool advanceTo(std::uint64_t Revision, std::uint64_t ContentRevision,
+                 TimePoint Now);
   template <class Predicate> bool removeIf(Predicate Remove);
   /// Remembers removals that peers have to learn.
   void rememberRemoved(const std::vector<std::string> &Instances);
   void rebuildIndex();
 
   std::map<std::string, Entry, std::less<>> Entries_;
-  /// Removed instances with the revisions at which this node learned of their
-  /// removal, oldest first.
-  std::deque<std::pair<std::string, std::uint64_t>> Removals_;
+  /// Removed instances, oldest first.
+  std::deque<Removal> Removals_;
+  /// Reports that do not take effect before the grace period of the era ends,
+  /// by instance: see isOutdatedCopy.
+  std::map<std::string, ListedTarget, std::less<>> Withheld_;
   /// Highest revision whose removals are no longer remembered.
   std::uint64_t ForgottenUpTo_ = 0;
   std::uint64_t Revision_ = 0;
@@ -154,9 +199,13 @@
   std::uint64_t ContentRevision_ = 0;
   std::map<HostId, const ListedTarget *> ByNode_;
   std::vector<std::string> Evacuated_;
+  /// Evacuations of the era before that the source does not list.
+  std::vector<std::string> KeptEvacuated_;
   bool Known_ = false;
   bool HasMissingEntries_ = false;
   std::optional<TimePoint> KeepMissingUntil_;
+  /// End of the grace period of the era.
+  std::optional<TimePoint> WithholdUntil_;
 };
 
 } // namespace marigold::membership
--- a/src/Node/ControlCore.cpp
+++ b/src/Node/ControlCore.cpp
@@ -130,10 +130,7 @@
     runBootstrap(Now, Out);
     return;
   }
-  if (Directory_.expire(Now)) {
-    ++HostsGeneration_;
-    updateOwnTarget(Out);
-  }
+  expireTargets(Now, Out);
   distribution::SourceRole Role = Reader_.role();
   auto ConfirmationAge = Confirmation_.age(Now);
   auto Actions = Reader_.tick(Now);
--- a/src/Node/ControlCore.h
+++ b/src/Node/ControlCore.h
@@ -38,10 +38,10 @@
 
 /// State of the source as this node knows it from peers and its own reads.
 struct KnownSourceState {
-  /// Source revision up to which this node knows every change of the target
-  /// list.
+  /// Ordered revision of the source up to which this node knows every change
+  /// of the target list.
   std::uint64_t Revision_ = 0;
-  /// Revision of the configuration in use.
+  /// Revision of the configuration version in use.
   std::uint64_t ConfigRevision_ = 0;
   /// The platform's target list.
   std::vector<membership::ListedTarget> Targets_;
@@ -227,7 +227,10 @@
   void mergeTargets(const HostId &Peer, const SyncReply &Reply, TimePoint Now,
                     ControlEffects &Out);
   /// Merges changes of the target list from a peer, evacuations included.
-  bool mergeChanges(const TargetChanges &Changes, ControlEffects &Out);
+  bool mergeChanges(const TargetChanges &Changes, TimePoint Now,
+                    ControlEffects &Out);
+  /// Ends the grace periods of the target list that are over.
+  void expireTargets(TimePoint Now, ControlEffects &Out);
   void setEvacuated(std::vector<std::string> Domains, ControlEffects &Out);
   /// Reports the evacuations that have begun or ended since Before.
   void reportEvacuations(const std::vector<std::string> &Before,
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -55,6 +55,15 @@
   advertise(std::nullopt, Now, Out);
 }
 
+void ControlCore::expireTargets(TimePoint Now, ControlEffects &Out) {
+  std::vector<std::string> Before = Directory_.evacuated();
+  bool Confirmed = Confirmation_.age(Now) < OutageThreshold;
+  if (!Directory_.expire(Now, Confirmed))
+    return;
+  reportEvacuations(Before, Out);
+  onTargetsChanged(Out);
+}
+
 void ControlCore::onTargetsChanged(ControlEffects &Out) {
   ++HostsGeneration_;
   updateOwnTarget(Out);
@@ -62,7 +71,7 @@
 
 std::uint64_t ControlCore::sourceRevision() const {
   if (Store_.version().Revision_ < ListConfigRevision_ ||
-      Directory_.hasMissingEntries() || Directory_.isAheadOfRevision())
+      Directory_.isProvisional() || Directory_.isAheadOfRevision())
     return 0;
   return Directory_.revision();
 }
@@ -80,7 +89,7 @@
   // over as reader continues from the revision of the list and would miss a
   // configuration change with a lower revision.
   if (EveryNodeMode_ || Store_.version() < Reply.Summary_.Version_ ||
-      !mergeChanges(Reply.Targets_, Out))
+      !mergeChanges(Reply.Targets_, Now, Out))
     return;
   ListConfigRevision_ = 0;
   onTargetsChanged(Out);
@@ -98,10 +107,10 @@
   advertise(Peer, Now, Out);
 }
 
-bool ControlCore::mergeChanges(const TargetChanges &Changes,
+bool ControlCore::mergeChanges(const TargetChanges &Changes, TimePoint Now,
                                ControlEffects &Out) {
   std::vector<std::string> Before = Directory_.evacuated();
-  if (!Directory_.merge(Changes))
+  if (!Directory_.merge(Changes, Now))
     return false;
   reportEvacuations(Before, Out);
   return true;
--- a/unittests/Control/SharedListTest.cpp
+++ b/unittests/Control/SharedListTest.cpp
@@ -1,5 +1,7 @@
 #include "ControlHarness.h"
 
+#include "Support/SourceRevision.h"
+
 #include <doctest/doctest.h>
 
 namespace marigold::node {
@@ -255,6 +257,49 @@
   CHECK(node(Stale).Core_->directory().find(idOf(Removed)) == nullptr);
 }
 
+// Guards against a fleet that stands still when the source returns from an
+// older copy, whose revisions are below those of before, and against nodes that
+// do not read the source and stay in the era before.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "source that returned from a copy is followed by all nodes") {
+  source().Revision_ = orderedRevision(1, 900);
+  run(3s);
+  REQUIRE(allKnowRevision(orderedRevision(1, 900)));
+  unsigned CutOff = nonReader();
+  source().UnreachableNodes_ = {CutOff};
+  source().Revision_ = orderedRevision(2, 40);
+  run(PropagationLimit_);
+  CHECK(allKnowRevision(orderedRevision(2, 40)));
+  unsigned Removed = CutOff + 1;
+  while (readers().contains(Removed))
+    ++Removed;
+  removeTarget(Removed);
+  run(PropagationLimit_);
+  CHECK(node(Removed).Core_->ownTarget().Unlisted_);
+  CHECK(allKnowRevision(orderedRevision(2, 41)));
+}
+
+// Guards against a target that is given up because the copy lacks its entry,
+// which it writes again within two seconds.
+TEST_CASE_FIXTURE(SharedListFixture,
+                  "target that the copy lacks is kept until it reports again") {
+  source().Revision_ = orderedRevision(1, 900);
+  run(3s);
+  unsigned Number = nonReader();
+  removeTarget(Number);
+  source().Revision_ = orderedRevision(2, 40);
+  for (int Step = 0; Step < 18; ++Step) {
+    run(100ms);
+    for (unsigned Each = 1; Each <= Count_; ++Each)
+      REQUIRE(node(Each).Core_->directory().find(idOf(Number)) != nullptr);
+  }
+  source().Targets_->push_back(target(Number));
+  ++source().Revision_;
+  run(PropagationLimit_);
+  CHECK(allKnowRevision(orderedRevision(2, 41)));
+  CHECK_FALSE(node(Number).Core_->ownTarget().Unlisted_);
+}
+
 // Guards against requests to the targets of an evacuated failure domain, from
 // callers' nodes and at the targets' own nodes.
 TEST_CASE_FIXTURE(SharedListFixture,
--- a/unittests/Distribution/VersionStoreTest.cpp
+++ b/unittests/Distribution/VersionStoreTest.cpp
@@ -65,6 +65,21 @@
   CHECK(codeOf(Store_.offer(nullptr, Now_)) == ErrorCode::SnapshotInvalid);
 }
 
+// Guards against nodes of builds that order versions by the store's revision,
+// beside nodes that order them by the operators' number during a rolling
+// restart: the revision is the larger number.
+TEST_CASE_FIXTURE(VersionStoreFixture,
+                  "numbered version replaces one of an older build") {
+  VersionStore Older;
+  REQUIRE(Older.offer(snapshot(1, 9000, 1), Now_));
+  REQUIRE(Store_.offer(snapshot(2, 7, 1), Now_));
+  CHECK(Older.answer(Store_.request()).Kind_ == SyncKind::Unchanged);
+  REQUIRE(Older.offerReply(Store_.answer(Older.request()), Now_));
+  CHECK(Older.version() == ConfigVersion{2, 7});
+  CHECK(codeOf(Older.offer(snapshot(1, 9001, 2), Now_)) ==
+        ErrorCode::VersionOlder);
+}
+
 // Guards against an invalid snapshot with a greater version that replaces a
 // valid one.
 TEST_CASE_FIXTURE(VersionStoreFixture, "version store validates before swap") {
--- a/unittests/Membership/TargetDirectoryTest.cpp
+++ b/unittests/Membership/TargetDirectoryTest.cpp
@@ -62,8 +62,8 @@
   Directory_.apply({target("b", 2)}, Now_);
   CHECK(instances() == Names{"a", "b"});
   CHECK_FALSE(
-      Directory_.expire(Now_ + TargetDirectory::MissingEntryGrace_ / 2));
-  CHECK(Directory_.expire(Now_ + TargetDirectory::MissingEntryGrace_));
+      Directory_.expire(Now_ + TargetDirectory::MissingEntryGrace_ / 2, true));
+  CHECK(Directory_.expire(Now_ + TargetDirectory::MissingEntryGrace_, true));
   CHECK(instances() == Names{"b"});
 }
 
@@ -74,7 +74,8 @@
   Directory_.apply({}, Now_);
   Now_ += seconds(1);
   Directory_.apply({target("a", 1)}, Now_);
-  CHECK_FALSE(Directory_.expire(Now_ + TargetDirectory::MissingEntryGrace_));
+  CHECK_FALSE(
+      Directory_.expire(Now_ + TargetDirectory::MissingEntryGrace_, true));
   CHECK(instances() == Names{"a"});
 }
 
@@ -121,13 +122,13 @@
                   "directory orders reports by revision, not by start time") {
   Directory_.apply({target("a", 1, 2400, 9)}, Now_, 10, 10);
   TargetDirectory Peer;
-  REQUIRE(Peer.merge(Directory_.changesSince(0)));
+  REQUIRE(Peer.merge(Directory_.changesSince(0), Now_));
   ListedTarget Leaving = target("a", 1, 1000, 3);
   Leaving.Leaving_ = true;
   Directory_.apply({Leaving}, Now_, 14, 14);
   REQUIRE(Directory_.find({1, 7400}) != nullptr);
   CHECK(Directory_.find({1, 7400})->Leaving_);
-  REQUIRE(Peer.merge(Directory_.changesSince(Peer.revision())));
+  REQUIRE(Peer.merge(Directory_.changesSince(Peer.revision()), Now_));
   CHECK(Peer.targets() == Directory_.targets());
 }
 
@@ -149,14 +150,14 @@
                   "directory merges the changes of a peer since its revision") {
   Directory_.apply({target("a", 1), target("b", 2)}, Now_, 10);
   TargetDirectory Peer;
-  REQUIRE(Peer.merge(Directory_.changesSince(0)));
+  REQUIRE(Peer.merge(Directory_.changesSince(0), Now_));
   ListedTarget Leaving = target("a", 1, 1, 2);
   Leaving.Leaving_ = true;
   Directory_.apply({Leaving, target("c", 3)}, Now_, 14);
   TargetChanges Changes = Directory_.changesSince(Peer.revision());
   CHECK(Changes.Base_ == 10);
   CHECK(Changes.Changed_.size() == 2);
-  REQUIRE(Peer.merge(Changes));
+  REQUIRE(Peer.merge(Changes, Now_));
   CHECK(Peer.targets() == Directory_.targets());
   CHECK(Peer.revision() == 14);
   CHECK(Directory_.changesSince(14).Revision_ == 0);
@@ -168,7 +169,7 @@
   Directory_.apply({target("a", 1)}, Now_, 10);
   TargetChanges Late = Directory_.changesSince(0);
   Directory_.apply({}, Now_, 12);
-  CHECK_FALSE(Directory_.merge(Late));
+  CHECK_FALSE(Directory_.merge(Late, Now_));
   Directory_.apply({target("a", 1)}, Now_, 10);
   CHECK(instances().empty());
 }
@@ -181,7 +182,7 @@
   Ahead.Base_ = 12;
   Ahead.Revision_ = 14;
   Ahead.Changed_ = {target("b", 2)};
-  CHECK_FALSE(Directory_.merge(Ahead));
+  CHECK_FALSE(Directory_.merge(Ahead, Now_));
   CHECK(instances() == Names{"a"});
   CHECK(Directory_.revision() == 10);
 }
@@ -195,7 +196,7 @@
   CHECK(Directory_.changesSince(9).Base_ == 0);
   CHECK(Directory_.changesSince(10).Revision_ == 0);
   TargetDirectory Peer;
-  REQUIRE(Peer.merge(Directory_.changesSince(0)));
+  REQUIRE(Peer.merge(Directory_.changesSince(0), Now_));
   std::uint64_t Revision = 10;
   for (std::size_t Round = 0; Round <= TargetDirectory::RemovalsKept_;
        ++Round) {
@@ -204,7 +205,7 @@
   }
   TargetChanges Changes = Directory_.changesSince(Peer.revision());
   CHECK(Changes.Base_ == 0);
-  REQUIRE(Peer.merge(Changes));
+  REQUIRE(Peer.merge(Changes, Now_));
   CHECK(Peer.targets() == Directory_.targets());
 }
 
@@ -217,7 +218,7 @@
   Directory_.onOutageEnded(Now_);
   Directory_.apply({}, Now_, 11);
   CHECK(Directory_.hasMissingEntries());
-  CHECK(Directory_.expire(Now_ + TargetDirectory::MissingEntryGrace_));
+  CHECK(Directory_.expire(Now_ + TargetDirectory::MissingEntryGrace_, true));
   CHECK_FALSE(Directory_.hasMissingEntries());
   CHECK(Directory_.changesSince(10).Removed_ == Names{"a"});
 }
@@ -231,14 +232,14 @@
     "directory with content after its revision passes on every change") {
   Directory_.apply({target("a", 1), target("b", 2)}, Now_, 10, 10);
   TargetDirectory Peer;
-  REQUIRE(Peer.merge(Directory_.changesSince(0)));
+  REQUIRE(Peer.merge(Directory_.changesSince(0), Now_));
   ListedTarget Leaving = target("a", 1, 1, 2);
   Leaving.Leaving_ = true;
   Directory_.apply({Leaving}, Now_, 10, 12);
   CHECK(Directory_.isAheadOfRevision());
   Directory_.apply({Leaving}, Now_, 12, 12);
   CHECK_FALSE(Directory_.isAheadOfRevision());
-  REQUIRE(Peer.merge(Directory_.changesSince(Peer.revision())));
+  REQUIRE(Peer.merge(Directory_.changesSince(Peer.revision()), Now_));
   CHECK(Peer.targets() == Directory_.targets());
 }
 
@@ -251,7 +252,7 @@
   Peer.apply({target("a", 1), target("b", 2)}, Now_, 10, 10);
   Directory_.apply({target("b", 2), target("c", 3)}, Now_, 0, 12);
   Directory_.apply({target("b", 2), target("c", 3)}, Now_, 12, 12);
-  REQUIRE(Peer.merge(Directory_.changesSince(10)));
+  REQUIRE(Peer.merge(Directory_.changesSince(10), Now_));
   CHECK(Peer.targets() == Directory_.targets());
 }
 
@@ -330,9 +331,9 @@
     TargetDirectory Peer;
     for (TargetDirectory *Node : {&Reader, &Other})
       Node->apply({target("a", 1)}, Now_, 10, 10);
-    REQUIRE(Peer.merge(Other.changesSince(0)));
+    REQUIRE(Peer.merge(Other.changesSince(0), Now_));
     Other.apply({target("a", 1), target("x", 2)}, Now_, 12, 12);
-    REQUIRE(Peer.merge(Other.changesSince(Peer.revision())));
+    REQUIRE(Peer.merge(Other.changesSince(Peer.revision()), Now_));
     CHECK(Peer.targets().size() == 2);
     std::optional<std::vector<std::string>> Removed;
     if (Known)
@@ -340,10 +341,10 @@
     Reader.apply({target("a", 1)}, Now_, 14, 14, Removed);
     TargetChanges Changes = Reader.changesSince(Peer.revision());
     CHECK(Changes.Base_ == (Known ? 12U : 0U));
-    REQUIRE(Peer.merge(Changes));
+    REQUIRE(Peer.merge(Changes, Now_));
     CHECK(Peer.targets() == Reader.targets());
     // The peer passes it on as well.
-    REQUIRE(Other.merge(Peer.changesSince(Other.revision())));
+    REQUIRE(Other.merge(Peer.changesSince(Other.revision()), Now_));
     CHECK(Other.targets() == Reader.targets());
   }
 }
@@ -375,7 +376,8 @@
         break;
       case 2:
         Node.merge(Nodes[Rng.below(Nodes.size())].changesSince(
-            Rng.chance(0.1) ? 0 : Node.revision()));
+                       Rng.chance(0.1) ? 0 : Node.revision()),
+                   Now_);
         break;
       case 3:
         Earlier = Store;
@@ -389,7 +391,7 @@
     Read(Nodes[0], Store);
     for (TargetDirectory &Node : Nodes)
       if (Node.revision() < Store.Revision_)
-        REQUIRE(Node.merge(Nodes[0].changesSince(Node.revision())));
+        REQUIRE(Node.merge(Nodes[0].changesSince(Node.revision()), Now_));
     for (const TargetDirectory &Node : Nodes)
       REQUIRE(Node.targets() == Store.targets());
   });
@@ -404,7 +406,7 @@
   TargetChanges Earlier = Directory_.changesSince(0);
   Directory_.apply({target("a", 1)}, Now_, 21);
   Directory_.setEvacuated({});
-  CHECK_FALSE(Directory_.merge(Earlier));
+  CHECK_FALSE(Directory_.merge(Earlier, Now_));
   CHECK_FALSE(Directory_.isEvacuated("east"));
 }
 
@@ -412,7 +414,7 @@
   Directory_.apply({target("a", 1)}, Now_, 20);
   Directory_.setEvacuated({"east", "north"});
   TargetDirectory Peer;
-  CHECK(Peer.merge(Directory_.changesSince(0)));
+  CHECK(Peer.merge(Directory_.changesSince(0), Now_));
   CHECK(Peer.isEvacuated("north"));
   CHECK_FALSE(Peer.isEvacuated("west"));
 }
