Close connections that are accepted while the peer server stops

The log has it at the stopped node for 30253 ms.

PeerServer::stop() closes the listener on the listener's strand and then the connections listed at that moment. A connection whose accept had completed by then was added afterwards and stayed open, and calls on it were taken. A caller that connects at once after its connection is lost meets this window. NodeProcess stops its server only after its threads have ended, so by the code this concerns nodes within one process alone.

A stopped server now drops such a connection. The flag and the list share one lock, as in HttpServer.

--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -32,12 +32,25 @@
         std::move(Socket), Handler_, Options_, false, std::nullopt, nullptr);
     {
       std::lock_guard Lock(Mutex_);
+      if (Stopped_)
+        return;
       std::erase_if(Links_, [](const auto &Weak) { return Weak.expired(); });
       Links_.push_back(Link);
     }
     asio::dispatch(Executor, [Link] { Link->start(); });
   }
 
+  void stop() {
+    Listener_.stop();
+    {
+      // The listener may still be passing on a connection.
+      std::lock_guard Lock(Mutex_);
+      Stopped_ = true;
+    }
+    for (const auto &Link : links())
+      Link->close(fail(ErrorCode::ConnectionFailed, "stopped"));
+  }
+
   std::vector<std::shared_ptr<PeerLink>> links() const {
     std::vector<std::shared_ptr<PeerLink>> Found;
     std::lock_guard Lock(Mutex_);
@@ -52,6 +65,7 @@
   const PeerOptions Options_;
   mutable std::mutex Mutex_;
   std::vector<std::weak_ptr<PeerLink>> Links_;
+  bool Stopped_ = false;
 };
 
 PeerServer::PeerServer(asio::io_context &Io, PeerHandler &Handler,
@@ -87,10 +101,6 @@
   return Count;
 }
 
-void PeerServer::stop() {
-  Impl_->Listener_.stop();
-  for (const auto &Link : Impl_->links())
-    Link->close(fail(ErrorCode::ConnectionFailed, "stopped"));
-}
+void PeerServer::stop() { Impl_->stop(); }
 
 } // namespace marigold::transport
--- a/unittests/Transport/PeerConnectionTest.cpp
+++ b/unittests/Transport/PeerConnectionTest.cpp
@@ -12,6 +12,19 @@
   return Value ? std::get_if<StreamLost>(&*Value) : nullptr;
 }
 
+/// Source of the own record that runs a function whenever it is copied, as it
+/// is for each accepted connection.
+struct CopiedRecord {
+  explicit CopiedRecord(std::function<void()> OnCopy)
+      : OnCopy_(std::move(OnCopy)) {}
+  CopiedRecord(const CopiedRecord &Other) : OnCopy_(Other.OnCopy_) {
+    OnCopy_();
+  }
+  HostRecord operator()() const { return {}; }
+
+  std::function<void()> OnCopy_;
+};
+
 } // namespace
 
 // Guards against delivering a reply to another caller's request.
@@ -281,6 +294,30 @@
   CHECK(*Received == Notice);
 }
 
+// Guards against calls without an answer on a connection that stays open on a
+// stopped server, because it was accepted while the server stopped.
+TEST_CASE_FIXTURE(PeerFixture,
+                  "peer server that stops closes a connection being accepted") {
+  std::atomic<bool> Armed = false;
+  Waiter<bool> Accepting;
+  Waiter<bool> Stopped;
+  ServerOptions_.OwnRecord_ = CopiedRecord([&] {
+    if (!Armed.exchange(false))
+      return;
+    Accepting.set(true);
+    Stopped.take();
+  });
+  startServer();
+  Armed = true;
+  RawPeer Peer = rawClient();
+  REQUIRE(Accepting.take());
+  Server_->stop();
+  Stopped.set(true);
+  CHECK(Peer.ends());
+  CHECK(Served_.Opened_ == 0);
+  CHECK(Server_->connections() == 0);
+}
+
 TEST_CASE_FIXTURE(PeerFixture, "peer pool opens one connection for a peer") {
   auto First = connect();
   CHECK(connect() == First);
