--- a/tools/lib/store_return.py
+++ b/tools/lib/store_return.py
@@ -60,6 +60,8 @@
         self.counts = collections.Counter(judged_leaving=0)
         self.written = []  # (time of the first write, version)
         self.configs = []  # (acknowledgement, version)
+        # Held while a version is written, so that no older one follows it.
+        self.operator = asyncio.Lock()
         self.log = open(self.mesh.folder / "record.txt", "w", buffering=1)
 
     def record(self, text):
@@ -125,8 +127,9 @@
                 continue
             seen = self.store.returned_at
             await asyncio.sleep(rng.uniform(0.1, REWRITE_S - 0.3))
-            if self.configs[-1][0].lost_at < math.inf:
-                await self.write_config(self.configs[-1][1])
+            async with self.operator:
+                if self.configs[-1][0].lost_at < math.inf:
+                    await self.write_config(self.configs[-1][1])
             for target, ack in list(self.removed.values()):
                 if ack.lost_at < math.inf:
                     await self.remove_entry(target)
@@ -225,9 +228,10 @@
     async def play_configs(self, rng, end):
         while time.monotonic() < end:
             await asyncio.sleep(rng.choice([0.3, 1, 3]))
-            # What a return has lost is written again first.
-            if self.configs[-1][0].lost_at == math.inf:
-                await self.write_config(self.version + 1)
+            async with self.operator:
+                # What a return has lost is written again first.
+                if self.configs[-1][0].lost_at == math.inf:
+                    await self.write_config(self.version + 1)
 
     async def play_nodes(self, rng, end):
         while time.monotonic() < end:
