--- a/tools/lib/store_mesh.py
+++ b/tools/lib/store_mesh.py
@@ -55,9 +55,10 @@
 
         async with self.lock:
             try:
-                first, fields, body = await asyncio.wait_for(exchange(),
-                                                             timeout)
-            except (OSError, EOFError, asyncio.TimeoutError):
+                # Unlike wait_for, passes on a cancellation at any moment.
+                async with asyncio.timeout(timeout):
+                    first, fields, body = await exchange()
+            except (OSError, EOFError, TimeoutError):
                 self.close()
                 return None
             if fields.get("connection") == "close":
