Returns of the store: an acknowledgement binds while the store is stable

The trace shows that the removal was acknowledged 0.84 s after the store's return; the users' rule counts acknowledgements that are given while the store is stable, which begins 3 s after a disturbance.

--- a/tools/lib/store_mesh.py
+++ b/tools/lib/store_mesh.py
@@ -87,6 +87,13 @@
         return all(last + CONTACT_S < start or first > end
                    for first, last in self.spans)
 
+    def calm_from(self, moment):
+        """Returns the first time at or after a moment that is calm."""
+        for first, last in sorted(self.spans):
+            if first <= moment <= last + CONTACT_S:
+                moment = last + CONTACT_S
+        return moment
+
 
 class Ack:
     """An acknowledged write, kept until a return loses it."""
--- a/tools/lib/store_return.py
+++ b/tools/lib/store_return.py
@@ -339,7 +339,9 @@
         """Yields the requests that reached a target late after it left."""
         for at, target, name in self.arrivals:
             request = self.requests[name]
-            since = min((ack.at for ack in target.leaving
+            # An acknowledgement binds while the store is stable.
+            since = min((self.store.faults.calm_from(ack.at)
+                         for ack in target.leaving
                          if ack.at <= at < ack.lost_at), default=math.inf)
             if since > at or not (request.host.faults.calm(request.sent, at) and
                                   target.host.faults.calm(request.sent, at)):
