Do not pass a kept evacuation to the source as a listed one

Found by the review of the returning store: a node that learned of the era from a peer and then read the source itself continued from a state that contained the evacuations which it only kept for the grace period. The domain stayed evacuated at that node for good, and as a reader it passed that on (test of the review: still evacuated after 60 s). The state to continue from now has what the source lists.

--- a/src/Membership/TargetDirectory.cpp
+++ b/src/Membership/TargetDirectory.cpp
@@ -230,6 +230,13 @@
   return Targets;
 }
 
+std::vector<std::string> TargetDirectory::listedEvacuated() const {
+  std::vector<std::string> Listed = Evacuated_;
+  for (const std::string &Domain : KeptEvacuated_)
+    std::erase(Listed, Domain);
+  return Listed;
+}
+
 /// Removes the entries that match the predicate. Returns whether there were
 /// any.
 template <class Predicate> bool TargetDirectory::removeIf(Predicate Remove) {
--- a/src/Membership/TargetDirectory.h
+++ b/src/Membership/TargetDirectory.h
@@ -104,6 +104,9 @@
   /// Evacuated failure domains, sorted. Their targets get no requests.
   const std::vector<std::string> &evacuated() const { return Evacuated_; }
 
+  /// Returns the evacuated failure domains that the source lists, sorted.
+  std::vector<std::string> listedEvacuated() const;
+
   bool isEvacuated(std::string_view FailureDomain) const;
 
   /// Ends the grace periods that are over: entries that are still missing are
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -153,7 +153,7 @@
 
 KnownSourceState ControlCore::knownSourceState() const {
   return {Directory_.revision(), Store_.version().Revision_,
-          Directory_.listedTargets(), Directory_.evacuated()};
+          Directory_.listedTargets(), Directory_.listedEvacuated()};
 }
 
 void ControlCore::setOwnService(std::string Service, ControlEffects &Out) {
--- a/unittests/Membership/SourceEraTest.cpp
+++ b/unittests/Membership/SourceEraTest.cpp
@@ -266,6 +266,8 @@
   CHECK(Directory_.evacuated() ==
         std::vector<std::string>{"east", "north", "west"});
   CHECK(Directory_.isProvisional());
+  // A node that continues to read from here must not take them for listed.
+  CHECK(Directory_.listedEvacuated() == std::vector<std::string>{"north"});
   list(ready(5), Way::OwnRead);
   Directory_.setEvacuated({"east", "north"});
   wait(TargetDirectory::MissingEntryGrace_ + milliseconds(100));
