Order what nodes of older builds say of the source

Found by the review of the returning store. A node that started beside nodes of a build before took their version, which is the store's revision, for a number of the operators and ignored each configuration below it. Its data was confirmed by nodes that are in the era before, and by lists that it had read and not taken. The state to continue from has the version with its epoch now; confirmations count within one era and for lists that are taken.

--- a/src/Node/ControlCore.h
+++ b/src/Node/ControlCore.h
@@ -41,8 +41,8 @@
   /// Ordered revision of the source up to which this node knows every change
   /// of the target list.
   std::uint64_t Revision_ = 0;
-  /// Revision of the configuration version in use.
-  std::uint64_t ConfigRevision_ = 0;
+  /// Configuration version in use.
+  ConfigVersion Version_;
   /// The platform's target list.
   std::vector<membership::ListedTarget> Targets_;
   /// Evacuated failure domains, sorted.
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -4,6 +4,7 @@
 #include "Node/ControlCore.h"
 
 #include "Support/Archive.h"
+#include "Support/SourceRevision.h"
 
 #include <algorithm>
 
@@ -34,8 +35,9 @@
   detectOutageEnd(Now);
   Reader_.onHosts(Now);
   // A list of targets without a revision was read alone; it does not show that
-  // the configuration is current.
-  if (!List.Targets_ || List.Revision_ != 0)
+  // the configuration is current. One that is not taken confirms nothing.
+  if (!List.Targets_ ||
+      (List.Revision_ != 0 && List.Revision_ >= Directory_.revision()))
     Confirmation_.confirm(Now);
   if (List.Targets_) {
     if (List.Revision_ >= Directory_.revision())
@@ -79,7 +81,10 @@
 bool ControlCore::confirmsOwnState(const NodeSummary &Summary) const {
   if (Directory_.revision() == 0)
     return true;
+  // A peer in an earlier era may still be confirmed on state that the source no
+  // longer has.
   return Summary.SourceRevision_ != 0 &&
+         eraOf(Summary.SourceRevision_) == eraOf(sourceRevision()) &&
          Summary.SourceRevision_ <= sourceRevision();
 }
 
@@ -152,7 +157,7 @@
 }
 
 KnownSourceState ControlCore::knownSourceState() const {
-  return {Directory_.revision(), Store_.version().Revision_,
+  return {Directory_.revision(), Store_.version(),
           Directory_.listedTargets(), Directory_.listedEvacuated()};
 }
 
