Log revisions of the source as era and revision

Lists that were read before the configuration have no revision and are followed by one that has it; they counted as ignored and were warned of although nothing was wrong. They are incomplete now.

--- a/src/Node/ControlPlane.cpp
+++ b/src/Node/ControlPlane.cpp
@@ -4,6 +4,7 @@
 #include "Support/Addresses.h"
 #include "Support/Archive.h"
 #include "Support/Log.h"
+#include "Support/SourceRevision.h"
 #include "Support/SuspendedTime.h"
 
 namespace marigold::node {
@@ -134,7 +135,7 @@
   if (Effects.TargetsMerged_) {
     logEvent(LogLevel::Info, "targets_learned",
              {{"targets", std::to_string(Known.Targets_.size())},
-              {"revision", std::to_string(Known.Revision_)}});
+              {"revision", revisionText(Known.Revision_)}});
     Source_->resumeFrom(Known);
   }
   applyEffects(Effects);
@@ -225,13 +226,16 @@
                std::to_string(Event->ConfirmationAge_.count())}});
   }
   if (const auto &Event = Effects.TargetList_) {
+    // A list without a revision is followed by the same one with it.
+    bool Ignored = !Event->Taken_ && Event->Revision_ != 0;
+    std::string_view Result = Event->Taken_ ? "taken" : "incomplete";
     Parts_.Metrics_.add(Metric::TargetListsTotal, 1,
-                        Event->Taken_ ? "taken" : "ignored");
-    logEvent(Event->Taken_ ? LogLevel::Info : LogLevel::Warning, "targets_read",
+                        Ignored ? "ignored" : Result);
+    logEvent(Ignored ? LogLevel::Warning : LogLevel::Info, "targets_read",
              {{"targets", std::to_string(Event->Targets_)},
               {"unusable", std::to_string(Event->Unusable_)},
-              {"revision", std::to_string(Event->Revision_)},
-              {"held", std::to_string(Event->Held_)},
+              {"revision", revisionText(Event->Revision_)},
+              {"held", revisionText(Event->Held_)},
               {"taken", Event->Taken_ ? "true" : "false"}});
   }
   for (const EvacuationEvent &Event : Effects.Evacuations_) {
@@ -240,7 +244,7 @@
     logEvent(LogLevel::Warning,
              Event.Begins_ ? "evacuation_began" : "evacuation_ended",
              {{"domain", Event.FailureDomain_},
-              {"revision", std::to_string(Event.Revision_)}});
+              {"revision", revisionText(Event.Revision_)}});
   }
   for (Duration Pause : Effects.Pauses_) {
     auto Length = std::chrono::duration_cast<std::chrono::milliseconds>(Pause);
--- a/src/Node/ControlTargets.cpp
+++ b/src/Node/ControlTargets.cpp
@@ -157,8 +157,8 @@
 }
 
 KnownSourceState ControlCore::knownSourceState() const {
-  return {Directory_.revision(), Store_.version(),
-          Directory_.listedTargets(), Directory_.listedEvacuated()};
+  return {Directory_.revision(), Store_.version(), Directory_.listedTargets(),
+          Directory_.listedEvacuated()};
 }
 
 void ControlCore::setOwnService(std::string Service, ControlEffects &Out) {
