--- a/src/Node/TargetProxy.cpp
+++ b/src/Node/TargetProxy.cpp
@@ -443,7 +443,17 @@
   auto Run = std::make_shared<TargetRun>();
   Run->Id_ = ++Impl_->LastId_;
   Run->Start_ = std::move(Start);
-  Run->Body_ = std::make_shared<const std::string>(std::move(Body));
+  auto Size = static_cast<std::int64_t>(Body.size());
+  MetricsRegistry &Metrics = Impl_->Parts_.Metrics_;
+  if (Size != 0)
+    Metrics.add(Metric::HeldBytes, Size, "runs");
+  Run->Body_ = std::shared_ptr<const std::string>(
+      new std::string(std::move(Body)),
+      [&Metrics, Size](const std::string *Held) {
+        if (Size != 0)
+          Metrics.add(Metric::HeldBytes, -Size, "runs");
+        delete Held;
+      });
   Run->Connection_ = Connection;
   Impl_->accept(Run);
 }
--- a/src/Transport/PeerLink.h
+++ b/src/Transport/PeerLink.h
@@ -168,6 +168,10 @@
   /// Due time of the body that this stream sends.
   TimePoint dueTimeOf(std::uint32_t Stream, TimePoint Now) const;
   void addBacklog(std::int64_t Bytes);
+  /// Changes the bytes of request bodies being received, and of bodies queued
+  /// for sending.
+  void addReceiving(std::int64_t Bytes);
+  void addQueued(std::int64_t Bytes);
   void appendStreamSegment(std::deque<std::uint32_t> &Queue);
   void onWritten(boost::system::error_code Error);
 
--- a/src/Transport/PeerStreams.cpp
+++ b/src/Transport/PeerStreams.cpp
@@ -331,7 +331,7 @@
     refuseOnStrand(*Refusal);
     return success();
   }
-  ReceivingBytes_ += Value.BodySize_;
+  addReceiving(static_cast<std::int64_t>(Value.BodySize_));
   RemoteStream Entry;
   Entry.Deadlines_ = deadlinesOf(Value);
   Entry.Start_ = std::move(Value);
@@ -373,7 +373,7 @@
   if (Entry.Complete_ || Entry.Body_.size() != Entry.Start_.BodySize_)
     return unexpected("CallEnd before the end of the body or repeated");
   Entry.Complete_ = true;
-  ReceivingBytes_ -= Entry.Start_.BodySize_;
+  addReceiving(-static_cast<std::int64_t>(Entry.Start_.BodySize_));
   Handler_.onCall(shared_from_this(), std::move(Entry.Start_),
                   std::move(Entry.Body_));
   return success();
@@ -394,7 +394,8 @@
   }
   bool Complete = Position->second.Complete_;
   if (!Complete)
-    ReceivingBytes_ -= Position->second.Start_.BodySize_;
+    addReceiving(
+        -static_cast<std::int64_t>(Position->second.Start_.BodySize_));
   RemoteStreams_.erase(Position);
   updateStreamCount();
   if (Complete)
