One memory account for all bodies on their way through a node

Cause: MemoryAccount counted the connections of callers only. Bodies that arrive on peer connections were bounded for each connection (64 MB), a body on its way to the target existed three times, and answers in assembly or waiting for the link were bounded by slots.

The process has one account now. A call from another node reserves its body at CallStart, before anything is buffered, and is refused as not run (node-memory) if there is no room; seven eighths of the account are open to such bodies, so that connections of callers still find room. A body is shared, not copied, until the target has it, and its reservation ends with its last owner, however the call ends. Stalled clients give way to a reservation that then fits, none for one that does not. A call that one node has no memory for may be tried at another, and that node counts as refusing.

--- a/src/Calls/Retry.cpp
+++ b/src/Calls/Retry.cpp
@@ -41,7 +41,9 @@
   case ErrorCode::WrongService:
   case ErrorCode::WrongInstance:
   case ErrorCode::TargetUnlisted:
-  // The target or its queue has no room, but another one may.
+  // The target, its queue or its node's memory has no room, but another one
+  // may.
+  case ErrorCode::NodeMemory:
   case ErrorCode::TargetRefused:
   case ErrorCode::HopelessWait:
   case ErrorCode::TargetCold:
--- a/src/Node/CallerCall.cpp
+++ b/src/Node/CallerCall.cpp
@@ -290,6 +290,7 @@
   Response.Status_ = Reply.Start_.Status_;
   Response.Headers_ = std::move(Reply.Start_.Headers_);
   Response.Body_ = std::move(Reply.Body_);
+  Response.Memory_ = std::move(Reply.Memory_);
   setOutcome(Response.Headers_, Outcome::Ok);
   Exchange_->respond(std::move(Response));
 }
--- a/src/Node/CallerProxy.cpp
+++ b/src/Node/CallerProxy.cpp
@@ -25,10 +25,8 @@
 // the caller gets the specific reason.
 constexpr std::uint64_t DefaultBodyLimit = std::size_t{64} * 1024;
 
-// Clients get one part in MemoryShare of the host's memory. The rest is for the
-// process itself, peers, targets and the configuration source.
-constexpr std::uint64_t MemoryShare = 2;
-// Descriptors for the same purposes, at most half of all.
+// Descriptors for the process itself, peers, targets and the configuration
+// source, at most half of all.
 constexpr std::uint64_t ReservedDescriptors = 1024;
 
 /// Descriptors that the process may use: the setting, or the limit of the
@@ -101,9 +99,7 @@
                                 const std::shared_ptr<CallerContext> &Context) {
     const NodeSettings &Settings = Context->Parts_.Settings_;
     MetricsRegistry &Metrics = Context->Parts_.Metrics_;
-    if (Settings.MemoryLimit_ > 0)
-      Values.Memory_ = std::make_shared<transport::MemoryAccount>(
-          Settings.MemoryLimit_ * 1'000'000 / MemoryShare);
+    Values.Memory_ = Context->Parts_.Memory_;
     std::uint64_t Descriptors = maxDescriptors(Settings.MaxDescriptors_);
     Values.Connections_ = std::clamp<std::uint64_t>(
         Descriptors - std::min(Descriptors / 2, ReservedDescriptors), 1,
@@ -115,9 +111,16 @@
       Metrics.add(Metric::ConnectionsShedTotal, 1, Reason);
       Limiter->log(Reason, std::chrono::steady_clock::now());
     };
-    Values.OnHeld_ = [&Metrics](std::uint64_t Bytes) {
-      Metrics.set(Metric::HeldBytes, static_cast<std::int64_t>(Bytes),
-                  "callers");
+    Values.OnHeld_ = [&Metrics, Memory = Values.Memory_](std::uint64_t Bytes) {
+      std::uint64_t Calls = Memory->reserved(transport::MemoryUse::Calls);
+      std::uint64_t Answers = Memory->reserved(transport::MemoryUse::Answers);
+      auto Report = [&](std::uint64_t Value, std::string_view Holder) {
+        Metrics.set(Metric::HeldBytes, static_cast<std::int64_t>(Value),
+                    Holder);
+      };
+      Report(Bytes - std::min(Bytes, Calls + Answers), "callers");
+      Report(Calls, "calls");
+      Report(Answers, "answers");
     };
   }
 
--- a/src/Node/CallerProxy.h
+++ b/src/Node/CallerProxy.h
@@ -34,6 +34,8 @@
   /// Called before the service of this host is read for a call, which may have
   /// changed; may be null.
   std::function<void()> BeforeCall_ = nullptr;
+  /// Account of the process's memory; may be null.
+  std::shared_ptr<transport::MemoryAccount> Memory_ = nullptr;
 };
 
 /// Receives HTTP requests from callers, chooses targets, sends the calls to the
--- a/src/Node/NodeProcess.cpp
+++ b/src/Node/NodeProcess.cpp
@@ -43,6 +43,10 @@
 /// a stopping process.
 constexpr Duration KillMargin = std::chrono::milliseconds(600);
 
+/// What is held for clients gets one part in MemoryShare of the host's memory.
+/// The rest is for the process itself.
+constexpr std::uint64_t MemoryShare = 2;
+
 HostRecord ownRecord(const NodeSettings &Settings) {
   auto Wall = std::chrono::system_clock::now().time_since_epoch();
   HostRecord Own;
@@ -90,9 +94,9 @@
         DrainTimer_(Io_),
         Control_({Io_, Metrics_, Settings_}, Own_, SeedGenerator_.next(),
                  std::chrono::steady_clock::now(), Adapter_.MakeSource_),
-        Target_(
-            {Io_, Control_, Metrics_, Settings_, Adapter_.HeaderNames_, Pacer_},
-            Own_.Incarnation_, SeedGenerator_.next()),
+        Target_({Io_, Control_, Metrics_, Settings_, Adapter_.HeaderNames_,
+                 Pacer_, Memory_},
+                Own_.Incarnation_, SeedGenerator_.next()),
         Dispatcher_(Target_, Control_),
         Server_(Io_, Dispatcher_, peerOptions()),
         CallPool_(Io_, Dispatcher_, peerOptions(), SeedGenerator_.next()),
@@ -100,7 +104,7 @@
         Caller_({Io_, Control_, CallPool_,
                  Settings_.Service_.empty() ? nullptr : &Target_, Metrics_,
                  Settings_, Adapter_.HeaderNames_,
-                 [this] { reloadChangedSettings(); }},
+                 [this] { reloadChangedSettings(); }, Memory_},
                 SeedGenerator_.next()),
         Admin_(Io_, Metrics_), ReadyServer_(Io_, Metrics_) {}
 
@@ -160,6 +164,7 @@
     Options.OwnRecord_ = [this] { return Control_.ownRecord(); };
     Options.Metrics_ = &Metrics_;
     Options.Pacer_ = Pacer_;
+    Options.Memory_ = Memory_;
     return Options;
   }
 
@@ -371,6 +376,9 @@
   boost::asio::io_context Io_;
   const std::shared_ptr<transport::EgressPacer> Pacer_ =
       makePacer(Io_, Settings_);
+  const std::shared_ptr<transport::MemoryAccount> Memory_ =
+      std::make_shared<transport::MemoryAccount>(Settings_.MemoryLimit_ *
+                                                 1'000'000 / MemoryShare);
   boost::asio::signal_set Signals_;
   boost::asio::strand<boost::asio::io_context::executor_type> SettingsStrand_{
       boost::asio::make_strand(Io_)};
--- a/src/Node/PeerDispatcher.h
+++ b/src/Node/PeerDispatcher.h
@@ -30,7 +30,7 @@
     return Calls_.onCallStart(Connection, Start);
   }
   void onCall(const transport::PeerConnectionPtr &Connection, CallStart Start,
-              std::string Body) override {
+              std::shared_ptr<const std::string> Body) override {
     Calls_.onCall(Connection, std::move(Start), std::move(Body));
   }
   void onCallCancel(const transport::PeerConnectionPtr &Connection,
--- a/src/Node/TargetProxy.cpp
+++ b/src/Node/TargetProxy.cpp
@@ -42,6 +42,7 @@
 transport::HttpClientLimits clientLimits(const TargetProxyParts &Parts) {
   transport::HttpClientLimits Limits;
   Limits.UnrepeatableIdle_ = Parts.Settings_.UnrepeatableReuse_;
+  Limits.Memory_ = Parts.Memory_;
   Limits.OnOpen_ = [&Metrics = Parts.Metrics_] {
     Metrics.add(Metric::TargetConnectionsTotal);
   };
@@ -201,6 +202,21 @@
   return std::nullopt;
 }
 
+void TargetProxy::Impl::replay(const TargetRunPtr &Run,
+                               const calls::StoredAnswer &Answer,
+                               TimePoint Now) {
+  auto Memory = transport::reserveMemory(
+      Parts_.Memory_, transport::MemoryUse::Answers, Answer.Body_.size(), Now);
+  if (!Memory) {
+    sendRefusal(Run, ErrorCode::AnswerTooLarge, load(), {});
+    return;
+  }
+  sendReply(Run,
+            {Answer.Status_, Answer.Headers_, Answer.Body_,
+             std::move(Memory.value())},
+            load(), Duration::zero());
+}
+
 bool TargetProxy::Impl::claimKey(const TargetRunPtr &Run, TimePoint Now) {
   calls::Claim Claimed;
   {
@@ -212,8 +228,7 @@
     Run->KeyNumber_ = Claimed.Number_;
     return true;
   case calls::ClaimAction::Replay:
-    sendReply(Run, Claimed.Answer_->Status_, Claimed.Answer_->Headers_,
-              Claimed.Answer_->Body_, load(), Duration::zero());
+    replay(Run, *Claimed.Answer_, Now);
     return false;
   case calls::ClaimAction::Refuse:
     break;
@@ -439,21 +454,12 @@
 }
 
 void TargetProxy::onCall(const transport::PeerConnectionPtr &Connection,
-                         CallStart Start, std::string Body) {
+                         CallStart Start,
+                         std::shared_ptr<const std::string> Body) {
   auto Run = std::make_shared<TargetRun>();
   Run->Id_ = ++Impl_->LastId_;
   Run->Start_ = std::move(Start);
-  auto Size = static_cast<std::int64_t>(Body.size());
-  MetricsRegistry &Metrics = Impl_->Parts_.Metrics_;
-  if (Size != 0)
-    Metrics.add(Metric::HeldBytes, Size, "runs");
-  Run->Body_ = std::shared_ptr<const std::string>(
-      new std::string(std::move(Body)),
-      [&Metrics, Size](const std::string *Held) {
-        if (Size != 0)
-          Metrics.add(Metric::HeldBytes, -Size, "runs");
-        delete Held;
-      });
+  Run->Body_ = std::move(Body);
   Run->Connection_ = Connection;
   Impl_->accept(Run);
 }
--- a/src/Node/TargetProxy.h
+++ b/src/Node/TargetProxy.h
@@ -28,6 +28,8 @@
   /// Pacer of the host's network link, used to predict transfer times; null if
   /// no link rate is configured.
   std::shared_ptr<transport::EgressPacer> Pacer_ = nullptr;
+  /// Account of the process's memory; may be null.
+  std::shared_ptr<transport::MemoryAccount> Memory_ = nullptr;
 };
 
 /// Admits calls for the target beside this node and forwards them to it.
@@ -89,7 +91,7 @@
   onCallStart(const transport::PeerConnectionPtr &Connection,
               const CallStart &Start) override;
   void onCall(const transport::PeerConnectionPtr &Connection, CallStart Start,
-              std::string Body) override;
+              std::shared_ptr<const std::string> Body) override;
   void onCallCancel(const transport::PeerConnectionPtr &Connection,
                     std::uint32_t Stream) override;
   void onKeyRequest(const transport::PeerConnectionPtr &Connection,
--- a/src/Node/TargetProxyImpl.h
+++ b/src/Node/TargetProxyImpl.h
@@ -179,8 +179,10 @@
                  const transport::HttpClientFailure &Failed, Duration Latency);
   LoadReport endRun(const TargetRunPtr &Run, const admission::RunSample &Sample,
                     std::size_t AnswerBytes);
-  void sendReply(const TargetRunPtr &Run, std::uint16_t Status,
-                 std::vector<Header> Headers, std::string Body,
+  /// Answers a keyed request with the stored answer.
+  void replay(const TargetRunPtr &Run, const calls::StoredAnswer &Answer,
+              TimePoint Now);
+  void sendReply(const TargetRunPtr &Run, transport::HttpResponse Response,
                  const LoadReport &Load, Duration Latency);
   void sendRefusal(const TargetRunPtr &Run, ErrorCode Code,
                    const LoadReport &Load,
--- a/src/Node/TargetRun.cpp
+++ b/src/Node/TargetRun.cpp
@@ -105,8 +105,7 @@
     Request.EchoValue_ =
         transport::findHeader(Start.Headers_, Names.RequestId_);
   }
-  if (Run->Body_)
-    Request.Body_ = *Run->Body_;
+  Request.Body_ = Run->Body_;
   Request.Repeatable_ = Run->Repeatable_;
   Request.Deadline_ = Now + Remaining;
   Request.MayWrite_ = [Self = shared_from_this(), Run,
@@ -262,8 +261,7 @@
   LoadReport Load = endRun(Run, {Latency, true, Shed}, Response.Body_.size());
   logRun(*Run, Status >= 500 ? "failed" : "answered", std::to_string(Status),
          Load, Latency);
-  sendReply(Run, Status, std::move(Response.Headers_),
-            std::move(Response.Body_), Load, Latency);
+  sendReply(Run, std::move(Response), Load, Latency);
 }
 
 void TargetProxy::Impl::readTargetLoad(const transport::HttpResponse &Response,
@@ -367,28 +365,31 @@
   return Load;
 }
 
-void TargetProxy::Impl::sendReply(const TargetRunPtr &Run, std::uint16_t Status,
-                                  std::vector<Header> Headers, std::string Body,
+void TargetProxy::Impl::sendReply(const TargetRunPtr &Run,
+                                  transport::HttpResponse Response,
                                   const LoadReport &Load, Duration Latency) {
   ReplyStart Start;
-  Start.Status_ = Status;
-  Start.Headers_ = std::move(Headers);
+  Start.Status_ = static_cast<std::uint16_t>(Response.Status_);
+  Start.Headers_ = std::move(Response.Headers_);
   ReplyEnd End;
   End.Load_ = Load;
   End.ServiceTime_ =
       std::chrono::duration_cast<std::chrono::microseconds>(Latency);
   if (Run->Connection_) {
     Run->Connection_->reply(Run->Start_.Stream_, std::move(Start),
-                            std::move(Body), End);
+                            transport::shareBody(std::move(Response.Body_),
+                                                 std::move(Response.Memory_)),
+                            End);
     return;
   }
-  Start.BodySize_ = Body.size();
-  boost::asio::post(
-      Parts_.Io_, [Run, Reply = transport::PeerReply{
-                            std::move(Start), std::move(Body), End}]() mutable {
-        if (auto Done = std::exchange(Run->Local_, nullptr))
-          Done(std::move(Reply));
-      });
+  Start.BodySize_ = Response.Body_.size();
+  boost::asio::post(Parts_.Io_,
+                    [Run, Reply = transport::PeerReply{
+                              std::move(Start), std::move(Response.Body_), End,
+                              std::move(Response.Memory_)}]() mutable {
+                      if (auto Done = std::exchange(Run->Local_, nullptr))
+                        Done(std::move(Reply));
+                    });
 }
 
 void TargetProxy::Impl::sendRefusal(const TargetRunPtr &Run, ErrorCode Code,
--- a/src/Routing/Pool.cpp
+++ b/src/Routing/Pool.cpp
@@ -202,6 +202,7 @@
       Sample.Error_ == ErrorCode::Shed ||
       Sample.Error_ == ErrorCode::HopelessWait ||
       Sample.Error_ == ErrorCode::TargetCold ||
+      Sample.Error_ == ErrorCode::NodeMemory ||
       Sample.Error_ == ErrorCode::Evacuated ||
       Sample.Error_ == ErrorCode::TargetUnlisted)
     Host.Load_.onRefused(Now);
--- a/src/Transport/HttpClientConnection.cpp
+++ b/src/Transport/HttpClientConnection.cpp
@@ -128,10 +128,12 @@
   Message_->target(Request.Target_);
   Message_->set(http::field::host, Request.Host_);
   addFields(*Message_, Request.Headers_);
-  Message_->body() = Request.Body_;
+  Body_ = Request.Body_;
+  if (Body_)
+    Message_->body() = {Body_->data(), Body_->size()};
   bool BodyExpected = Request.Method_ != "GET" && Request.Method_ != "HEAD";
-  if (BodyExpected || !Request.Body_.empty())
-    Message_->content_length(Request.Body_.size());
+  if (BodyExpected || !Message_->body().empty())
+    Message_->content_length(Message_->body().size());
   startParser();
   armTimer(Request.Deadline_);
   Serializer_.emplace(*Message_);
@@ -229,11 +231,40 @@
   Buffer_.commit(
       asio::buffer_copy(Buffer_.prepare(Size), asio::buffer(Input_, Size)));
   parse();
+  if (Done_ && !holdBody(bodyMemory()))
+    return;
   if (OnLargeResponse_ && bodyMemory() >= LargeResponse)
     OnLargeResponse_();
   read();
 }
 
+bool HttpClientConnection::holdBody(std::size_t Size) {
+  if (!Limits_.Memory_ || (Size == 0 && !Held_))
+    return true;
+  TimePoint Now = std::chrono::steady_clock::now();
+  if (Held_ && Held_->resize(Size, Now))
+    return true;
+  if (!Held_) {
+    auto Reserved =
+        reserveMemory(Limits_.Memory_, MemoryUse::Answers, Size, Now);
+    if (Reserved) {
+      Held_ = std::move(Reserved.value());
+      return true;
+    }
+  }
+  end(fail(ErrorCode::AnswerTooLarge, "no memory left for the response"),
+      false);
+  return false;
+}
+
+void HttpClientConnection::releaseRequest() {
+  if (Writing_)
+    return;
+  Serializer_.reset();
+  Message_.reset();
+  Body_.reset();
+}
+
 std::size_t HttpClientConnection::bodyMemory() const {
   if (!Parser_ || Closed_)
     return 0;
@@ -324,6 +355,8 @@
 }
 
 void HttpClientConnection::complete() {
+  if (!holdBody(Parser_->get().body().size()))
+    return;
   auto Response = std::make_unique<HttpResponse>();
   auto &Head = Parser_->get();
   bool Reusable = Parser_->keep_alive() && !Parser_->need_eof() && !Writing_ &&
@@ -333,7 +366,9 @@
   Response->Status_ = Head.result_int();
   Response->Headers_ = endToEndFields(Head);
   Response->Body_ = std::move(Head.body());
+  Response->Memory_ = std::move(Held_);
   Parser_.reset();
+  releaseRequest();
   IdleSince_ = std::chrono::steady_clock::now();
   auto Callback = std::exchange(Done_, nullptr);
   if (!Reusable)
@@ -356,6 +391,7 @@
   boost::system::error_code Ignored;
   Socket_.close(Ignored);
   Timer_.cancel();
+  releaseRequest();
   if (auto Callback = std::exchange(Done_, nullptr)) {
     auto Ended = std::make_unique<HttpClientFailure>();
     Ended->Cause_ = std::move(Cause);
--- a/src/Transport/HttpClientConnection.h
+++ b/src/Transport/HttpClientConnection.h
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
@@ -33,8 +34,7 @@
   void connect(const boost::asio::ip::tcp::endpoint &Target, TimePoint Deadline,
                std::function<void(Result<void>)> Callback);
 
-  /// Sends a request. The connection must be open and idle. Request must stay
-  /// valid until Callback is called.
+  /// Sends a request. The connection must be open and idle.
   void send(const HttpClientRequest &Request, Done Callback);
 
   /// Whether the connection is open and no unread data is pending. Queries the
@@ -69,7 +69,8 @@
 private:
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
-  using Message = boost::beast::http::request<boost::beast::http::string_body>;
+  using RequestBody = boost::beast::http::span_body<const char>;
+  using Message = boost::beast::http::request<RequestBody>;
 
   void onConnected(boost::system::error_code Error,
                    const std::function<void(Result<void>)> &Callback);
@@ -80,6 +81,11 @@
   void parse();
   void startParser();
   void complete();
+  /// Counts the memory of the response's body. Returns false, and ends the
+  /// request, if there is none.
+  bool holdBody(std::size_t Size);
+  /// Releases the request that was sent, unless it is still being written.
+  void releaseRequest();
   /// Whether the response that is being parsed has a status that a response can
   /// have. A response with another one is not read further, whatever its
   /// framing.
@@ -99,10 +105,13 @@
   std::array<char, 8192> Input_;
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
+  /// Body of the request that is being sent.
+  std::shared_ptr<const std::string> Body_;
   std::optional<Message> Message_;
-  std::optional<
-      boost::beast::http::request_serializer<boost::beast::http::string_body>>
+  std::optional<boost::beast::http::request_serializer<RequestBody>>
       Serializer_;
+  /// Memory of the response's body.
+  MemoryReservationPtr Held_;
   Done Done_;
   std::string EchoField_;
   std::string EchoValue_;
--- a/src/Transport/HttpClientPool.h
+++ b/src/Transport/HttpClientPool.h
@@ -19,7 +19,8 @@
   std::string Target_;
   /// End-to-end header fields. Host and Content-Length are added when sending.
   std::vector<Header> Headers_;
-  std::string Body_;
+  /// Null for none.
+  std::shared_ptr<const std::string> Body_;
   std::string Host_;
   /// Whether the request may be sent twice. Other requests use a new connection
   /// or one used within HttpClientLimits::UnrepeatableIdle_, which the target
@@ -86,6 +87,9 @@
   Duration StaleWindow_ = std::chrono::milliseconds(10);
   /// Called for each connection that is opened; may be empty.
   std::function<void()> OnOpen_ = {};
+  /// Account of the memory of responses; null for none. A response for which it
+  /// has no room fails with AnswerTooLarge.
+  std::shared_ptr<MemoryAccount> Memory_ = {};
 };
 
 /// Pool of keep-alive connections to one HTTP/1.1 target. A connection is
--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -527,6 +527,8 @@
                    Place->Notifier_.reset();
                    Place->Response_ = std::move(Response);
                    Place->RequestBytes_ = 0;
+                   // The connection counts the body from here on.
+                   Place->Response_->Memory_.reset();
                    Place->ResponseBytes_ = Place->Response_->Body_.capacity();
                    if (!Self->Writing_) {
                      TimePoint Now = std::chrono::steady_clock::now();
--- a/src/Transport/HttpTypes.h
+++ b/src/Transport/HttpTypes.h
@@ -2,6 +2,8 @@
 
 #include "Schema/generated/Errors.h"
 #include "Schema/generated/Messages.h"
+#include "Transport/MemoryAccount.h"
+
 #include "Support/Clock.h"
 
 #include <cstdint>
@@ -38,6 +40,8 @@
   /// End-to-end header fields, names in lower case.
   std::vector<Header> Headers_;
   std::string Body_;
+  /// What the account counts for the body; may be null.
+  MemoryReservationPtr Memory_ = {};
 };
 
 /// Whether a status is one of a final response. Nothing else is an answer: a
--- a/src/Transport/MemoryAccount.h
+++ b/src/Transport/MemoryAccount.h
@@ -2,17 +2,59 @@
 
 #include "Transport/ShedPolicy.h"
 
+#include "Support/Result.h"
+
+#include <array>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace marigold::transport {
 
-/// Account of the bytes that the connections of a server hold for their
-/// clients. The sum never exceeds the bound: a holder that would exceed it
-/// makes others give way, as chooseHolderToShed decides, or gives way itself.
-/// Thread-safe.
+class MemoryAccount;
+
+/// Bytes that an account counts until this object is destroyed. Nobody can be
+/// told to release them. Not thread-safe.
+class MemoryReservation {
+public:
+  MemoryReservation(std::shared_ptr<MemoryAccount> Account, MemoryUse Use,
+                    std::uint64_t Bytes)
+      : Account_(std::move(Account)), Use_(Use), Bytes_(Bytes) {}
+  ~MemoryReservation();
+  MemoryReservation(const MemoryReservation &) = delete;
+  MemoryReservation &operator=(const MemoryReservation &) = delete;
+
+  /// Changes the number of bytes. Returns false, and changes nothing, if more
+  /// do not fit.
+  bool resize(std::uint64_t Bytes, TimePoint Now);
+
+private:
+  const std::shared_ptr<MemoryAccount> Account_;
+  const MemoryUse Use_;
+  std::uint64_t Bytes_;
+};
+
+using MemoryReservationPtr = std::shared_ptr<MemoryReservation>;
+
+/// Reserves bytes. Fails with NodeMemory if they do not fit; without an account
+/// everything fits and the reservation is null.
+Result<MemoryReservationPtr>
+reserveMemory(const std::shared_ptr<MemoryAccount> &Account, MemoryUse Use,
+              std::uint64_t Bytes, TimePoint Now);
+
+/// Returns a body to share without copies. Its memory counts until the last
+/// owner has released it.
+std::shared_ptr<const std::string> shareBody(std::string Text,
+                                             MemoryReservationPtr Memory);
+
+/// Account of the bytes that a process holds for clients: those of the
+/// connections of a server, which may be told to release some, and reservations
+/// for bodies that are on their way. The sum never exceeds the bound: whoever
+/// would exceed it makes connections give way, as chooseHolderToShed decides,
+/// or gives way itself. Thread-safe.
 class MemoryAccount {
 public:
   /// Number of a holder.
@@ -37,9 +79,19 @@
   /// Removes a holder with all its bytes.
   void close(Id Holder);
 
+  /// Adds Bytes to those reserved for Use, after others gave way if need be.
+  /// Returns false, and makes nobody give way, if they do not fit.
+  bool reserve(MemoryUse Use, std::uint64_t Bytes, TimePoint Now);
+
+  /// Removes reserved bytes.
+  void release(MemoryUse Use, std::uint64_t Bytes);
+
   /// Bytes held in all.
   std::uint64_t held() const;
 
+  /// Bytes reserved for Use.
+  std::uint64_t reserved(MemoryUse Use) const;
+
 private:
   struct Entry {
     std::uint64_t Kept_ = 0;
@@ -49,8 +101,9 @@
     std::function<void()> Shed_;
   };
 
-  /// Makes others give way until Needed bytes are free. Requires Mutex_.
-  bool makeRoom(Id Holder, std::uint64_t Needed,
+  /// Makes others give way until Needed bytes are free below Limit. Requires
+  /// Mutex_.
+  bool makeRoom(Id Holder, std::uint64_t Needed, std::uint64_t Limit,
                 const SheddableMemory &Sheddable, TimePoint Now,
                 std::vector<std::function<void()>> &Shed);
 
@@ -58,6 +111,7 @@
   mutable std::mutex Mutex_;
   std::map<Id, Entry> Entries_;
   std::uint64_t Held_ = 0;
+  std::array<std::uint64_t, MemoryUses> Reserved_{};
   Id Next_ = 1;
 };
 
--- a/src/Transport/PeerConnection.h
+++ b/src/Transport/PeerConnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Transport/MemoryAccount.h"
+
 #include "Schema/generated/Messages.h"
 #include "Support/Archive.h"
 #include "Support/Clock.h"
@@ -61,6 +63,10 @@
   MetricsRegistry *Metrics_ = nullptr;
   /// Schedules the traffic on the host's link; may be null.
   std::shared_ptr<EgressPacer> Pacer_ = nullptr;
+  /// Account of the memory of the bodies that are received; may be null. A call
+  /// for which it has no room is refused with NodeMemory, an answer fails with
+  /// AnswerTooLarge.
+  std::shared_ptr<MemoryAccount> Memory_ = nullptr;
   PeerLimits Limits_;
 };
 
@@ -71,6 +77,8 @@
   std::string Body_;
   /// Load and service time of the target.
   ReplyEnd End_;
+  /// What the account counts for the body; may be null.
+  MemoryReservationPtr Memory_ = {};
 };
 
 /// Result of a stream that ended because its connection was lost or could not
@@ -109,9 +117,11 @@
   virtual std::optional<CallRefused> onCallStart(const PeerConnectionPtr &,
                                                  const CallStart &);
 
-  /// Called when a call and its body have been received. The handler later
-  /// answers with reply or refuse, unless the stream is cancelled.
-  virtual void onCall(const PeerConnectionPtr &, CallStart, std::string Body);
+  /// Called when a call and its body, which may be empty but not null, have
+  /// been received. The handler later answers with reply or refuse, unless the
+  /// stream is cancelled.
+  virtual void onCall(const PeerConnectionPtr &, CallStart,
+                      std::shared_ptr<const std::string> Body);
 
   /// Called when the peer has cancelled a stream, and for each unanswered
   /// stream when the connection is lost, before onClosed. Calls whose body is
@@ -173,8 +183,15 @@
 
   /// Answers a call of the peer. The stream number and body size in Start and
   /// End are set by this function.
-  virtual void reply(std::uint32_t Stream, ReplyStart Start, std::string Body,
-                     ReplyEnd End) = 0;
+  virtual void reply(std::uint32_t Stream, ReplyStart Start,
+                     std::shared_ptr<const std::string> Body, ReplyEnd End) = 0;
+
+  /// As above, with a body that no account counts.
+  void reply(std::uint32_t Stream, ReplyStart Start, std::string Body,
+             ReplyEnd End) {
+    reply(Stream, std::move(Start),
+          std::make_shared<const std::string>(std::move(Body)), End);
+  }
 
   /// Refuses a call or key request of the peer.
   virtual void refuse(const CallRefused &Refusal) = 0;
--- a/src/Transport/PeerLink.cpp
+++ b/src/Transport/PeerLink.cpp
@@ -224,7 +224,7 @@
 
 void PeerLink::sendStream(std::uint32_t Stream, Outgoing Entry) {
   if (Entry.Body_)
-    addQueued(static_cast<std::int64_t>(Entry.Body_->size()));
+    QueuedBodyBytes_ += Entry.Body_->size();
   Entry.Credit_ = Options_.Limits_.Window_;
   Entry.Queued_ = true;
   if (isBulk(Entry.Body_))
@@ -239,7 +239,7 @@
     return;
   const Outgoing &Entry = Position->second;
   if (Entry.Body_)
-    addQueued(-static_cast<std::int64_t>(Entry.Body_->size()));
+    QueuedBodyBytes_ -= Entry.Body_->size();
   if (isBulk(Entry.Body_))
     addBacklog(static_cast<std::int64_t>(Entry.Offset_) -
                static_cast<std::int64_t>(Entry.Body_->size()));
@@ -260,18 +260,6 @@
     Options_.Metrics_->add(Metric::EgressBacklogBytes, Bytes);
 }
 
-void PeerLink::addReceiving(std::int64_t Bytes) {
-  ReceivingBytes_ += static_cast<std::size_t>(Bytes);
-  if (Options_.Metrics_ && Bytes != 0)
-    Options_.Metrics_->add(Metric::HeldBytes, Bytes, "receiving");
-}
-
-void PeerLink::addQueued(std::int64_t Bytes) {
-  QueuedBodyBytes_ += static_cast<std::size_t>(Bytes);
-  if (Options_.Metrics_)
-    Options_.Metrics_->add(Metric::HeldBytes, Bytes, "sending");
-}
-
 TimePoint PeerLink::dueTimeOf(std::uint32_t Stream, TimePoint Now) const {
   const Outgoing &Entry = Outgoing_.at(Stream);
   return dueTime(Entry.Deadlines_,
@@ -471,7 +459,6 @@
   for (auto &[Stream, Entry] : Lost)
     Entry.Done_(StreamLost{Entry.Complete_, Cause});
   auto Dropped = std::exchange(RemoteStreams_, {});
-  addReceiving(-static_cast<std::int64_t>(ReceivingBytes_));
   for (auto &[Stream, Entry] : Dropped)
     if (Entry.Complete_)
       Handler_.onCallCancel(Self, Stream);
--- a/src/Transport/PeerLink.h
+++ b/src/Transport/PeerLink.h
@@ -38,8 +38,9 @@
                      StreamCallback Done) override;
   std::uint32_t requestKey(std::string Service, StreamCallback Done) override;
   void cancel(std::uint32_t Stream) override;
-  void reply(std::uint32_t Stream, ReplyStart Start, std::string Body,
-             ReplyEnd End) override;
+  using PeerConnection::reply;
+  void reply(std::uint32_t Stream, ReplyStart Start,
+             std::shared_ptr<const std::string> Body, ReplyEnd End) override;
   void refuse(const CallRefused &Refusal) override;
   void sendKey(const KeyReply &Reply) override;
   void close(Failure Cause) override;
@@ -70,6 +71,7 @@
     /// The last frame may have been sent, so the peer may act on the call.
     bool Complete_ = false;
     std::optional<ReplyStart> Start_;
+    MemoryReservationPtr Memory_;
     std::string Body_;
     std::size_t UncreditedBytes_ = 0;
   };
@@ -77,6 +79,7 @@
   /// Stream opened by the peer.
   struct RemoteStream {
     CallStart Start_;
+    MemoryReservationPtr Memory_;
     std::string Body_;
     std::size_t UncreditedBytes_ = 0;
     bool Complete_ = false;
@@ -168,10 +171,6 @@
   /// Due time of the body that this stream sends.
   TimePoint dueTimeOf(std::uint32_t Stream, TimePoint Now) const;
   void addBacklog(std::int64_t Bytes);
-  /// Changes the bytes of request bodies being received, and of bodies queued
-  /// for sending.
-  void addReceiving(std::int64_t Bytes);
-  void addQueued(std::int64_t Bytes);
   void appendStreamSegment(std::deque<std::uint32_t> &Queue);
   void onWritten(boost::system::error_code Error);
 
--- a/src/Transport/PeerStreams.cpp
+++ b/src/Transport/PeerStreams.cpp
@@ -23,6 +23,17 @@
   return fail(ErrorCode::MessageUnexpected, std::move(Detail));
 }
 
+/// Appends received data to a body of a known size, so that the body takes no
+/// more memory than the account counts.
+void appendData(std::string &Body, std::string Data, std::uint64_t BodySize) {
+  if (Data.size() == BodySize) {
+    Body = std::move(Data);
+    return;
+  }
+  Body.reserve(BodySize);
+  Body += Data;
+}
+
 CallRefused refusal(std::uint32_t Stream, ErrorCode Code) {
   return {Stream, static_cast<std::uint16_t>(Code), {}};
 }
@@ -35,7 +46,7 @@
 }
 
 void PeerHandler::onCall(const PeerConnectionPtr &Connection, CallStart Start,
-                         std::string) {
+                         std::shared_ptr<const std::string>) {
   Connection->refuse(refusal(Start.Stream_, ErrorCode::WrongService));
 }
 
@@ -237,13 +248,18 @@
   if (Entry->Start_ || Entry->Key_)
     return unexpected("ReplyStart");
   std::uint32_t Stream = Value.Stream_;
-  if (Value.BodySize_ > Options_.Limits_.Reply_) {
+  Result<MemoryReservationPtr> Memory = MemoryReservationPtr();
+  if (Value.BodySize_ != 0 && Value.BodySize_ <= Options_.Limits_.Reply_)
+    Memory = reserveMemory(Options_.Memory_, MemoryUse::Answers,
+                           Value.BodySize_, std::chrono::steady_clock::now());
+  if (Value.BodySize_ > Options_.Limits_.Reply_ || !Memory) {
     sendControl(
         makeFrame(MessageType::CallCancel, encodeBody(CallCancel{Stream})));
     finishLocalStream(Stream, refusal(Stream, ErrorCode::AnswerTooLarge));
     return success();
   }
   Entry->Start_ = std::move(Value);
+  Entry->Memory_ = std::move(Memory.value());
   return success();
 }
 
@@ -256,10 +272,7 @@
       Entry->Body_.size() + Size > Entry->Start_->BodySize_ ||
       Entry->UncreditedBytes_ + Size > Options_.Limits_.Window_)
     return unexpected("ReplyData");
-  if (Entry->Body_.empty())
-    Entry->Body_ = std::move(Value.Data_);
-  else
-    Entry->Body_ += Value.Data_;
+  appendData(Entry->Body_, std::move(Value.Data_), Entry->Start_->BodySize_);
   grant(Value.Stream_, Entry->UncreditedBytes_, Size);
   return success();
 }
@@ -270,7 +283,8 @@
     return success();
   if (!Entry->Start_ || Entry->Body_.size() != Entry->Start_->BodySize_)
     return unexpected("ReplyEnd");
-  PeerReply Reply{std::move(*Entry->Start_), std::move(Entry->Body_), Value};
+  PeerReply Reply{std::move(*Entry->Start_), std::move(Entry->Body_), Value,
+                  std::move(Entry->Memory_)};
   std::uint32_t Stream = Reply.End_.Stream_;
   finishLocalStream(Stream, std::move(Reply));
   return success();
@@ -331,8 +345,23 @@
     refuseOnStrand(*Refusal);
     return success();
   }
-  addReceiving(static_cast<std::int64_t>(Value.BodySize_));
   RemoteStream Entry;
+  if (Value.BodySize_ != 0) {
+    auto Memory =
+        reserveMemory(Options_.Memory_, MemoryUse::Calls, Value.BodySize_,
+                      std::chrono::steady_clock::now());
+    if (!Memory) {
+      if (Options_.Metrics_)
+        Options_.Metrics_->add(Metric::RefusedTotal, 1,
+                               errorText(ErrorCode::NodeMemory));
+      refuseOnStrand(refusal(Stream, Value.Key_.empty()
+                                         ? ErrorCode::NodeMemory
+                                         : ErrorCode::KeyOwnerUnreachable));
+      return success();
+    }
+    Entry.Memory_ = std::move(Memory.value());
+  }
+  ReceivingBytes_ += Value.BodySize_;
   Entry.Deadlines_ = deadlinesOf(Value);
   Entry.Start_ = std::move(Value);
   RemoteStreams_.emplace(Stream, std::move(Entry));
@@ -354,10 +383,7 @@
       Entry.Body_.size() + Size > Entry.Start_.BodySize_ ||
       Entry.UncreditedBytes_ + Size > Options_.Limits_.Window_)
     return unexpected("CallData");
-  if (Entry.Body_.empty())
-    Entry.Body_ = std::move(Value.Data_);
-  else
-    Entry.Body_ += Value.Data_;
+  appendData(Entry.Body_, std::move(Value.Data_), Entry.Start_.BodySize_);
   grant(Value.Stream_, Entry.UncreditedBytes_, Size);
   return success();
 }
@@ -373,9 +399,9 @@
   if (Entry.Complete_ || Entry.Body_.size() != Entry.Start_.BodySize_)
     return unexpected("CallEnd before the end of the body or repeated");
   Entry.Complete_ = true;
-  addReceiving(-static_cast<std::int64_t>(Entry.Start_.BodySize_));
+  ReceivingBytes_ -= Entry.Start_.BodySize_;
   Handler_.onCall(shared_from_this(), std::move(Entry.Start_),
-                  std::move(Entry.Body_));
+                  shareBody(std::move(Entry.Body_), std::move(Entry.Memory_)));
   return success();
 }
 
@@ -394,8 +420,7 @@
   }
   bool Complete = Position->second.Complete_;
   if (!Complete)
-    addReceiving(
-        -static_cast<std::int64_t>(Position->second.Start_.BodySize_));
+    ReceivingBytes_ -= Position->second.Start_.BodySize_;
   RemoteStreams_.erase(Position);
   updateStreamCount();
   if (Complete)
@@ -417,10 +442,10 @@
   return success();
 }
 
-void PeerLink::reply(std::uint32_t Stream, ReplyStart Start, std::string Body,
-                     ReplyEnd End) {
+void PeerLink::reply(std::uint32_t Stream, ReplyStart Start,
+                     std::shared_ptr<const std::string> Body, ReplyEnd End) {
   Start.Stream_ = End.Stream_ = Stream;
-  Start.BodySize_ = Body.size();
+  Start.BodySize_ = Body ? Body->size() : 0;
   submit([Start = std::move(Start), Body = std::move(Body),
           End](PeerLink &Link) mutable {
     auto Position = Link.RemoteStreams_.find(End.Stream_);
@@ -430,7 +455,7 @@
     Data.Head_ = makeFrame(MessageType::ReplyStart, encodeBody(Start));
     const PeerLimits &Limits = Link.Options_.Limits_;
     if (Data.Head_.size() > Limits.Frame_ ||
-        Link.QueuedBodyBytes_ + Body.size() > Limits.BodyQueue_) {
+        Link.QueuedBodyBytes_ + Start.BodySize_ > Limits.BodyQueue_) {
       Link.refuseOnStrand(refusal(End.Stream_, ErrorCode::AnswerTooLarge));
       return;
     }
@@ -439,11 +464,11 @@
     // transfer is subtracted from the objective.
     if (Link.Options_.Pacer_)
       Data.Deadlines_.Objective_ -=
-          Link.Options_.Pacer_->unloadedTransferTime(Body.size());
+          Link.Options_.Pacer_->unloadedTransferTime(Start.BodySize_);
     Link.RemoteStreams_.erase(Position);
     Link.updateStreamCount();
-    if (!Body.empty())
-      Data.Body_ = std::make_shared<const std::string>(std::move(Body));
+    if (Start.BodySize_ != 0)
+      Data.Body_ = std::move(Body);
     Data.Tail_ = makeFrame(MessageType::ReplyEnd, encodeBody(End));
     Data.DataType_ = MessageType::ReplyData;
     Link.sendStream(End.Stream_, std::move(Data));
--- a/src/Transport/ShedPolicy.h
+++ b/src/Transport/ShedPolicy.h
@@ -22,6 +22,26 @@
 /// Time without progress after which a transfer counts as stalled.
 inline constexpr std::chrono::seconds StallTime{1};
 
+/// What reserved memory is for.
+enum class MemoryUse : std::uint8_t {
+  /// Bodies of calls from other nodes, from the start of their arrival to the
+  /// end of their run.
+  Calls,
+  /// Answers between the target, its node and the caller's node.
+  Answers,
+};
+inline constexpr std::size_t MemoryUses = 2;
+
+/// Bytes of an account's bound up to which reservations of a use may fill it.
+///
+/// Answers this load: other nodes send so many bodies to one target that its
+/// node has no memory for the connections of its own callers. An answer may
+/// take all, since its request has run.
+constexpr std::uint64_t reservationLimit(std::uint64_t Bound, MemoryUse Use) {
+  constexpr std::uint64_t ShareForConnections = 8;
+  return Use == MemoryUse::Calls ? Bound - Bound / ShareForConnections : Bound;
+}
+
 /// Chooses the holder that gives way when memory is short; nothing if none
 /// holds any. The largest stalled one goes first, then the one with the least
 /// progress per byte held and second, so that a request that has just begun
--- a/unittests/Calls/RetryTest.cpp
+++ b/unittests/Calls/RetryTest.cpp
@@ -71,6 +71,8 @@
   const std::vector<Row> Rows{
       {"a refused call that is not offered to another host",
        State(Code::QueueFull), true, Code::AttemptsExhausted},
+      {"a call that one node has no memory for and another one would have",
+       State(Code::NodeMemory), true, Code::AttemptsExhausted},
       {"retries at each level of a chain", State(Code::AttemptsExhausted),
        false, Code::AttemptsExhausted},
       {"a held-back request that reaches another target", State(Code::HeldBack),
--- a/unittests/Node/MeshFixture.cpp
+++ b/unittests/Node/MeshFixture.cpp
@@ -67,7 +67,8 @@
 }
 
 void ForwardingHandler::onCall(const PeerConnectionPtr &Connection,
-                               CallStart Start, std::string Body) {
+                               CallStart Start,
+                               std::shared_ptr<const std::string> Body) {
   if (auto *Target = Target_.load())
     Target->onCall(Connection, std::move(Start), std::move(Body));
   else
@@ -99,6 +100,9 @@
   Options.Mesh_ = hash64(Settings_.Mesh_);
   Options.OwnRecord_ = [this] { return Environment_.ownRecord(); };
   Options.Metrics_ = &Metrics_;
+  Memory_ = std::make_shared<transport::MemoryAccount>(Settings_.MemoryLimit_ *
+                                                       1'000'000 / 2);
+  Options.Memory_ = Memory_;
   Server_ = std::make_unique<transport::PeerServer>(Io, Handler_, Options);
   REQUIRE(Server_->listen({Loopback, 0}));
   Settings_.PeerAddress_ = {Loopback, Server_->port()};
@@ -111,10 +115,10 @@
   Environment_.Own_.Region_ = Settings_.Region_;
   Peers_ =
       std::make_unique<transport::PeerConnectionPool>(Io, Handler_, Options, 1);
-  Target_ = std::make_unique<TargetProxy>(TargetProxyParts{Io, Environment_,
-                                                           Metrics_, Settings_,
-                                                           View.HeaderNames_},
-                                          1, 2);
+  Target_ = std::make_unique<TargetProxy>(
+      TargetProxyParts{Io, Environment_, Metrics_, Settings_, View.HeaderNames_,
+                       nullptr, Memory_},
+      1, 2);
   Handler_.Target_ = Target_.get();
   Callers_ = std::make_unique<CallerProxy>(
       CallerProxyParts{Io, Environment_, *Peers_,
@@ -123,7 +127,8 @@
                        [this] {
                          if (BeforeCall_)
                            BeforeCall_();
-                       }},
+                       },
+                       Memory_},
       3);
   REQUIRE(Callers_->listen({Loopback, 0}));
   Target_->start();
--- a/unittests/Node/MeshFixture.h
+++ b/unittests/Node/MeshFixture.h
@@ -63,7 +63,7 @@
   std::optional<CallRefused> onCallStart(const transport::PeerConnectionPtr &,
                                          const CallStart &) override;
   void onCall(const transport::PeerConnectionPtr &, CallStart,
-              std::string) override;
+              std::shared_ptr<const std::string>) override;
   void onCallCancel(const transport::PeerConnectionPtr &,
                     std::uint32_t) override;
   void onKeyRequest(const transport::PeerConnectionPtr &,
@@ -88,6 +88,7 @@
   FakeEnvironment Environment_;
   MetricsRegistry Metrics_;
   NodeSettings Settings_;
+  std::shared_ptr<transport::MemoryAccount> Memory_;
   std::function<void()> BeforeCall_;
   ForwardingHandler Handler_;
   std::unique_ptr<transport::PeerServer> Server_;
--- a/unittests/Routing/PoolTest.cpp
+++ b/unittests/Routing/PoolTest.cpp
@@ -181,12 +181,32 @@
 // the others.
 TEST_CASE_FIXTURE(PoolFixture, "refusals under load eject no host") {
   fill(4);
-  for (Code Refusal : {Code::QueueFull, Code::Shed, Code::HeldBack,
-                       Code::Cancelled, Code::DeadlineBeforeRun})
+  for (Code Refusal :
+       {Code::QueueFull, Code::Shed, Code::HeldBack, Code::Cancelled,
+        Code::DeadlineBeforeRun, Code::NodeMemory})
     fail({0, 7400}, 20, Refusal);
   CHECK(ejected() == 0);
 }
 
+// Guards against a host without memory that attracts calls, because it refuses
+// them at once and so always looks idle.
+TEST_CASE_FIXTURE(PoolFixture, "host that refuses for memory is spared") {
+  fill(2);
+  unsigned Refused = 0;
+  for (int Call = 0; Call < 100; ++Call) {
+    Now_ += milliseconds(5);
+    HostId Id = choose().value();
+    bool Full = Id.Ipv4_ == 1;
+    Refused += Full ? 1 : 0;
+    LoadReport Report{Full ? 0U : 5U, 0, 10};
+    if (Full)
+      Pool_.onResult(Id, {Code::NodeMemory, false, {}, Report}, Now_);
+    else
+      Pool_.onResult(Id, {{}, false, milliseconds(5), Report}, Now_);
+  }
+  CHECK(Refused < 10);
+}
+
 // Guards against a slow host that attracts calls by reporting itself idle.
 TEST_CASE_FIXTURE(PoolFixture, "slow host that reports itself idle is spared") {
   fill(4);
--- a/unittests/Transport/HttpAnswerTest.cpp
+++ b/unittests/Transport/HttpAnswerTest.cpp
@@ -36,7 +36,7 @@
     HttpClientRequest Request{Method,
                               "/a",
                               {},
-                              "",
+                              nullptr,
                               "desk",
                               false,
                               std::chrono::steady_clock::now() +
--- a/unittests/Transport/HttpClientFixture.h
+++ b/unittests/Transport/HttpClientFixture.h
@@ -26,7 +26,7 @@
     HttpClientRequest Request{"POST",
                               "/a",
                               {},
-                              "body",
+                              std::make_shared<const std::string>("body"),
                               "desk",
                               Repeatable,
                               std::chrono::steady_clock::now() + Limit};
--- a/unittests/Transport/MemoryAccountTest.cpp
+++ b/unittests/Transport/MemoryAccountTest.cpp
@@ -87,6 +87,69 @@
   CHECK_FALSE(Shed);
 }
 
+// Replays nine uploads of 15 MB at the node of one target with 260 MB, half of
+// which is for clients: what they need exceeds it.
+TEST_CASE("MemoryAccount: bodies from other nodes leave room for connections") {
+  constexpr std::uint64_t Bound = 130'000'000;
+  constexpr std::uint64_t Body = 15'000'000;
+  auto Account = std::make_shared<MemoryAccount>(Bound);
+  std::vector<MemoryReservationPtr> Bodies;
+  for (int Number = 0; Number < 9; ++Number)
+    if (auto Memory = reserveMemory(Account, MemoryUse::Calls, Body, Start))
+      Bodies.push_back(std::move(Memory.value()));
+  CHECK(Bodies.size() == 7);
+  CHECK(Account->held() == 7 * Body);
+  for (int Number = 0; Number < 500; ++Number)
+    CHECK(Account->open(
+        16'384, [] {}, Start));
+  CHECK(reserveMemory(Account, MemoryUse::Answers, Body, Start));
+  Bodies.clear();
+  CHECK(reserveMemory(Account, MemoryUse::Calls, Body, Start));
+}
+
+TEST_CASE("MemoryAccount: stalled clients give way to a reservation that fits, "
+          "to another one nobody does") {
+  auto Account = std::make_shared<MemoryAccount>(1000);
+  int Shed = 0;
+  for (int Number = 0; Number < 10; ++Number) {
+    auto Holder = Account->open(
+        10, [&] { ++Shed; }, Start);
+    REQUIRE(Account->resize(*Holder, 10, body(90, 89), Start));
+  }
+  TimePoint Now = Start + seconds(2);
+  CHECK_FALSE(reserveMemory(Account, MemoryUse::Calls, 800, Now));
+  CHECK(Shed == 0);
+  auto Fits = reserveMemory(Account, MemoryUse::Calls, 100, Now);
+  CHECK(Fits);
+  CHECK(Shed == 3);
+  CHECK(Account->held() == 830);
+  REQUIRE(Fits.value()->resize(200, Now));
+  CHECK(Account->reserved(MemoryUse::Calls) == 200);
+  CHECK_FALSE(Fits.value()->resize(2000, Now));
+  REQUIRE(Fits.value()->resize(1, Now));
+  CHECK(Account->reserved(MemoryUse::Calls) == 1);
+}
+
+TEST_CASE("MemoryAccount: a shared body counts until its last owner is gone") {
+  auto Account = std::make_shared<MemoryAccount>(1000);
+  auto Memory = reserveMemory(Account, MemoryUse::Calls, 5, Start);
+  auto Body = shareBody("hello", std::move(Memory.value()));
+  auto Other = Body;
+  Body.reset();
+  CHECK(*Other == "hello");
+  CHECK(Account->held() == 5);
+  Other.reset();
+  CHECK(Account->held() == 0);
+}
+
+TEST_CASE("MemoryAccount: without an account and without a bound all fits") {
+  CHECK(reserveMemory(nullptr, MemoryUse::Calls, 1 << 30, Start));
+  auto Account = std::make_shared<MemoryAccount>(0);
+  auto Memory = reserveMemory(Account, MemoryUse::Calls, 1 << 30, Start);
+  CHECK(Memory);
+  CHECK(Account->held() == 1 << 30);
+}
+
 TEST_CASE(
     "MemoryAccount: random events, within its bound and zero at the end") {
   for (unsigned Seed = 0; Seed < 200; ++Seed) {
@@ -98,10 +161,26 @@
     // What each holder was last granted; the sum is what the account counts.
     std::map<MemoryAccount::Id, std::array<std::uint64_t, 2>> Granted;
     std::set<MemoryAccount::Id> Told;
+    std::map<MemoryUse, std::uint64_t> Reserved;
     MemoryAccount::Id Next = 1;
     TimePoint Now = Start;
     for (int Step = 0; Step < 500; ++Step) {
       Now += milliseconds(Draw(400));
+      if (Draw(4) == 0) {
+        auto Use = Draw(2) == 0 ? MemoryUse::Calls : MemoryUse::Answers;
+        std::uint64_t Bytes = Draw(2000);
+        if (Draw(2) == 0) {
+          if (Account.reserve(Use, Bytes, Now)) {
+            Reserved[Use] += Bytes;
+            REQUIRE(Account.held() <= reservationLimit(Bound, Use));
+          }
+        } else {
+          Bytes = std::min(Bytes, Reserved[Use]);
+          Account.release(Use, Bytes);
+          Reserved[Use] -= Bytes;
+        }
+        REQUIRE(Account.reserved(Use) == Reserved[Use]);
+      }
       if (Granted.empty() || Draw(4) == 0) {
         std::uint64_t Kept = Draw(500);
         auto Opened = Account.open(
@@ -136,7 +215,8 @@
           }
         }
       }
-      std::uint64_t Sum = 0;
+      std::uint64_t Sum =
+          Reserved[MemoryUse::Calls] + Reserved[MemoryUse::Answers];
       for (const auto &[Holder, Bytes] : Granted)
         Sum += Bytes[0] + Bytes[1];
       REQUIRE(Account.held() == Sum);
@@ -144,6 +224,8 @@
     }
     for (const auto &[Holder, Bytes] : Granted)
       Account.close(Holder);
+    for (const auto &[Use, Bytes] : Reserved)
+      Account.release(Use, Bytes);
     CHECK(Account.held() == 0);
   }
 }
--- a/unittests/Transport/PeerFixture.h
+++ b/unittests/Transport/PeerFixture.h
@@ -19,6 +19,8 @@
   std::function<void(const PeerConnectionPtr &, const CallStart &,
                      const std::string &)>
       OnCall_;
+  /// Called with the body before OnCall_; may be empty.
+  std::function<void(std::shared_ptr<const std::string>)> OnBody_;
   std::function<std::optional<CallRefused>(const CallStart &)> OnStart_;
   std::function<void(const PeerConnectionPtr &)> OnOpen_;
   std::atomic<int> Calls_ = 0;
@@ -40,10 +42,12 @@
     return OnStart_ ? OnStart_(Start) : std::nullopt;
   }
   void onCall(const PeerConnectionPtr &Connection, CallStart Start,
-              std::string Body) override {
+              std::shared_ptr<const std::string> Body) override {
     ++Calls_;
+    if (OnBody_)
+      OnBody_(Body);
     if (OnCall_)
-      OnCall_(Connection, Start, Body);
+      OnCall_(Connection, Start, *Body);
     else
       Connection->reply(Start.Stream_, {}, std::move(Body), {});
   }
