Count both copies while the body of a client grows

A body without a length grows by half, and its old and new memory exist beside each other while it is copied; the account had the new one only. On a host of 40 MB with bodies of up to 16 MB that was 10 MB for each thread. Both are counted now, as is the copy that drops unused capacity, which is left out when there is no room for it.

A chunked body of 16 MB needs 27 MB of the account for a moment, thus a host of 54 MB (32 before).

--- a/src/Transport/HttpServerConnection.cpp
+++ b/src/Transport/HttpServerConnection.cpp
@@ -220,14 +220,17 @@
     return updateMemory();
   std::uint64_t Grown = Body.capacity() + Body.capacity() / 2;
   Needed = std::max(Needed, std::min(Grown, BodyLimit_));
-  if (!updateMemory(Needed - Body.capacity()))
+  // Both exist while the text is copied.
+  if (!updateMemory(Needed))
     return false;
-  // std::string::reserve would at least double the capacity.
-  std::string Moved;
-  Moved.reserve(Needed);
-  Moved.append(Body);
-  Body.swap(Moved);
-  return true;
+  {
+    // std::string::reserve would at least double the capacity.
+    std::string Moved;
+    Moved.reserve(Needed);
+    Moved.append(Body);
+    Body.swap(Moved);
+  }
+  return updateMemory();
 }
 
 void HttpServerConnection::giveWay() {
@@ -462,7 +465,9 @@
   if (!Parser_->is_done())
     return;
   Request_.Body_ = std::move(Parser_->get().body());
-  if (Request_.Body_.capacity() - Request_.Body_.size() > ConnectionMemory)
+  // The smaller copy exists beside the body for a moment.
+  if (Request_.Body_.capacity() - Request_.Body_.size() > ConnectionMemory &&
+      updateMemory(Request_.Body_.capacity() + Request_.Body_.size()))
     Request_.Body_.shrink_to_fit();
   handle();
 }
