Test of a busy target: wait until the held run has arrived

It read the number of runs as soon as the node counted one as running, which is before the target has received it; the run that arrived later counted as the one that must not be.

--- a/unittests/Node/PlacementCallTest.cpp
+++ b/unittests/Node/PlacementCallTest.cpp
@@ -52,6 +52,11 @@
     Hold_ = false;
   }
 
+  std::size_t heldCount() {
+    std::lock_guard Lock(Mutex_);
+    return Held_.size();
+  }
+
   std::unique_ptr<FakeTarget> Target_;
   std::string Load_ = "1,0,1,250";
   std::mutex Mutex_;
@@ -96,7 +101,9 @@
   Start.Routed_ = true;
   auto Body = std::make_shared<const std::string>();
   Busy.Target_->callLocal(Start, Body, [](transport::StreamResult) {});
-  REQUIRE(eventually([&] { return Busy.Target_->load().Running_ == 1; }));
+  // A run counts as running before the target has received it.
+  REQUIRE(eventually([&] { return heldCount() == 1; }));
+  REQUIRE(Busy.Target_->load().Running_ == 1);
   REQUIRE(Busy.Target_->load().ExpectedWait_.count() > 0);
   Start.MaxWait_ = std::chrono::microseconds(1);
   std::atomic<unsigned> Code = 0;
